First version: the window decides, with guards for the four rules

The design's window, both refusal checks and the running limit; beside them the SLO room, the out-of-time check at the front, modes with trial runs, paced calls and advice.

--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,827 @@
+// myrtlecroft's decisions, all of them: what one server takes, starts, turns away, calls and reports.
+//
+// How to call it: make one Controller for each life of a server, with the ServiceTerms it was given, a Host that
+// carries out effects and a seed; call start() once, then one input for each event, in order, with the clock.
+// Inputs never nest, and every effect is made before the input returns. The interface is in
+// include/myrtlecroft/: terms.h (what is read at start), exchange.h (one exchange) and controller.h.
+//
+// The design decides the ordinary path: a window over queue positions with both refusal checks, +1 each tenth
+// timely answer, a cut to position - 10 when lower, FIFO starts under a running limit (docs/design.md).
+// Mechanisms beside it:
+//   1. room: maxWindow follows the measured pace and the SLO times, less for what earns less (room()).
+//   2. out of time: what at the front can no longer meet its SLO time gives way to those behind it.
+//   3. modes: a server whose work stands still or fails denies, reports it, and comes back by trial runs.
+//   4. call pacing: calls below go out at a rate that follows their recent time; some may be skipped.
+//   5. advice: denials say how long to stay away, and the free value says how much is welcome.
+// The guards that the four rules ask for (due times, keys, memory, crowd, drain) stand with the inputs.
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "myrtlecroft/controller.h"
+
+namespace myrtlecroft {
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kSecond = 1'000 * kMs;
+
+// The design's figures.
+constexpr int kStep = 10;          // successes for each +1, margin of the cut, margin of the front check
+constexpr int kStartPerCore = 4;   // start window
+
+// The running limit.
+constexpr double kGrowth = 0.25;   // a beat, while cores idle and work is held
+constexpr double kCrowded = 1.5;   // on the cores, for each core: from here the limit falls back
+constexpr double kCeiling = 0.7;   // of the crowd that the server survives
+
+// Memory, as shares of all there is.
+constexpr double kHoldMemory = 0.8;
+constexpr double kRunMemory = 0.92;
+
+// Room, calls and modes.
+constexpr double kSloUsed = 0.85;      // of the SLO time that an exchange may be expected to take
+constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
+constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
+constexpr double kCallsUsed = 0.7;     // of our share of the dependency
+constexpr double kSilence = 8;         // stalled when e^-(kSilence + runs) is how likely the quiet is
+constexpr double kFailShare = 0.3;     // of recent runs failed: failing
+constexpr double kFailCount = 6;
+constexpr int kTrialRuns = 2;          // at once
+constexpr int kProven = 10;            // good trial runs in a row that end the trial
+
+constexpr Nanos kBeat = 25 * kMs;
+constexpr Nanos kRecent = 4 * kSecond;
+
+// A sum in which what is older counts less, brought up to date when it is read.
+class DecayingSum {
+ public:
+  explicit DecayingSum(Nanos over = kRecent) : over_(over) {}
+  void add(double x, Nanos now) { sum_ = read(now) + x, at_ = now; }
+  double read(Nanos now) const {
+    return sum_ * std::exp(-static_cast<double>(now - at_) / static_cast<double>(over_));
+  }
+
+ private:
+  Nanos over_;
+  Nanos at_ = 0;
+  double sum_ = 0;
+};
+
+class DecayingMean {
+ public:
+  explicit DecayingMean(Nanos over = kRecent) : total_(over), weight_(over) {}
+  void add(double x, Nanos now) { total_.add(x, now), weight_.add(1, now); }
+  // With nothing heard for long the ratio stands; a guess counts as one sample.
+  double mean(double guess, Nanos now) const {
+    double weight = weight_.read(now);
+    return (total_.read(now) + guess * 0.2) / (weight + 0.2);
+  }
+
+ private:
+  DecayingSum total_;
+  DecayingSum weight_;
+};
+
+double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
+
+enum class Mode { kServing, kStalled, kTrial, kLeaving };
+const char* name_of(Mode mode) {
+  constexpr std::array<const char*, 4> names = {"serving", "stalled", "trial", "leaving"};
+  return names[static_cast<std::size_t>(mode)];
+}
+
+}  // namespace
+
+class Controller::Core {
+ public:
+  Core(const ServiceTerms& terms, Host& host, std::uint64_t seed)
+      : terms_(terms), host_(host), random_(static_cast<std::mt19937::result_type>(seed)) {
+    min_window_ = std::max(1, terms_.cores);
+    window_ = kStartPerCore * min_window_;
+    limit_ = terms_.cores;
+    rows_.resize(terms_.groups.size());
+    customer_rate_.assign(terms_.customers.size(), DecayingSum(2 * kSecond));
+  }
+
+  // Inputs.
+  void start(Nanos now);
+  void read(Exchange& ex);
+  void settled(Exchange& ex, Outcome outcome);
+  void reached_call(Exchange& ex) { apply(ex, Input::kNeedsCall), progress(); }
+  void call_ended(Exchange& ex, Outcome outcome, Nanos took);
+  void caller_gone(Exchange& ex) { apply(ex, Input::kGone); }
+  void rang(const Gauges& gauges);
+  void leave_by(Nanos stop_at);
+  void at(Nanos now) { now_ = now; }
+  void pump();
+
+ private:
+  enum class Input {
+    kAdmit, kJoin, kDeny, kStart, kNeedsCall, kIssue, kSkip, kCallOk, kCallNone, kCallLost, kDone, kGiveUp, kGone
+  };
+  struct Step {
+    Phase phase;
+    Input input;
+    Phase next;
+    void (Core::*effect)(Exchange&);
+  };
+  struct Reason {
+    const char* why;
+    bool (Core::*applies)(const Exchange&) const;
+  };
+  struct ModeStep {
+    Mode mode;
+    bool (Core::*when)() const;
+    Mode next;
+    void (Core::*effect)();
+    const char* why;
+  };
+  // What is known of each endpoint group.
+  struct GroupRow {
+    DecayingMean core_time;  // seconds on the cores, calls left out
+    DecayingMean run_time;   // seconds from start to end
+  };
+  static const std::array<Step, 27> kSteps;
+  static const std::array<Reason, 6> kTurnedAway;
+  static const std::array<Reason, 2> kNotStarted;
+  static const std::array<ModeStep, 6> kModes;
+
+  bool apply(Exchange& ex, Input input);
+
+  // Effects of the steps.
+  void hold(Exchange& ex);
+  void join(Exchange& ex);
+  void deny(Exchange& ex);
+  void run(Exchange& ex);
+  void wait_to_call(Exchange& ex);
+  void issue(Exchange& ex);
+  void skip(Exchange& ex);
+  void call_ok(Exchange& ex);
+  void call_none(Exchange& ex);
+  void call_lost(Exchange& ex);
+  void finish(Exchange& ex);
+  void finish_abandoned(Exchange& ex);
+  void give_up(Exchange& ex);
+  void give_up_held(Exchange& ex);
+  void gone(Exchange& ex);
+  void gone_held(Exchange& ex);
+  void nothing(Exchange&) {}
+
+  // Reasons to turn an arrival away, and not to start what is at the front.
+  bool came_after_grace(const Exchange& ex) const;
+  bool sick(const Exchange& ex) const;
+  bool no_memory(const Exchange& ex) const;
+  bool beyond_window(const Exchange&) const { return next_position() > window_; }
+  bool no_time_left(const Exchange& ex) const { return ex.due - now_ <= lead(); }
+  bool beyond_room(const Exchange& ex) const;
+  bool likely_late(const Exchange& ex) const { return ex.position > window_ + kStep; }
+  bool out_of_time(const Exchange& ex) const;
+
+  // When modes change, and what that brings.
+  bool stands_still() const;
+  bool idle_while_stalled() const { return on_core_ == 0 || progressed_; }
+  bool runs_fail() const { return runs_.read(now_) >= kFailCount && failed_share() > kFailShare; }
+  bool proven() const { return trial_good_ >= kProven; }
+  bool told_to_leave() const { return stop_at_ != 0; }
+  void turn_sick();
+  void try_again() { trial_good_ = 0, window_ = std::min(window_, kStartPerCore * min_window_); }
+  void turn_well();
+  void turn_leaving() { host_.report_health(false); }
+  void change_modes();
+  double failed_share() const { return failures_.read(now_) / std::max(1.0, runs_.read(now_)); }
+  void progress() { last_progress_ = now_, progressed_ = true; }
+
+  // Measures.
+  std::size_t row_of(const Exchange& ex) const { return static_cast<std::size_t>(ex.group - terms_.groups.data()); }
+  int next_position() const { return static_cast<int>(held_.size()) + 1; }
+  Nanos lead() const { return kBeat + 2 * terms_.tick; }
+  double warm_share() const;
+  double ceiling() const;
+  double core_time(std::size_t row) const;
+  double core_time() const { return core_time_.mean(core_time_guess(0), now_); }
+  double core_time_guess(std::size_t row) const;
+  double run_time(std::size_t row) const;
+  double pace() const { return limit_ / core_time(); }
+  double worth(std::size_t row) const;
+  double customer_factor(const Exchange& ex) const;
+  double room(const Exchange& ex) const;
+  double call_rate() const;
+  double call_wait(const Exchange& ex) const;
+  bool may_call();
+  bool can_start(const Exchange& ex) const;
+  double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
+  Nanos stay_away() const;
+
+  // Upkeep.
+  void late(Exchange& ex);
+  void timely();
+  void set_memory(Exchange& ex, double kb) { memory_kb_ += kb - ex.memory_kb, ex.memory_kb = kb; }
+  void on_core(Exchange& ex);
+  void off_core(Exchange& ex);
+  void leave_hold(Exchange& ex);
+  void leave_call(Exchange& ex);
+  void close(Exchange& ex);
+  void answer_due();
+  void pump_calls();
+  void advertise();
+  void follow_gauges(const Gauges& gauges);
+
+  const ServiceTerms& terms_;
+  Host& host_;
+  std::mt19937 random_;
+  Nanos now_ = 0;
+  Nanos started_ = 0;
+
+  std::deque<Exchange*> held_;      // in arrival order
+  std::deque<Exchange*> to_call_;   // waiting for leave to call
+  std::vector<Exchange*> open_;     // all that are not over
+  std::multiset<Nanos> keys_;       // when kept entries end
+  std::multiset<Nanos> lingering_;  // when abandoned calls are surely gone
+
+  int window_ = 0;
+  int min_window_ = 0;
+  int successes_ = 0;
+  Nanos last_cut_ = -1;
+  double limit_ = 0;
+  int on_core_ = 0;
+  int calling_ = 0;
+  double memory_kb_ = 0;
+
+  Mode mode_ = Mode::kServing;
+  Nanos notice_ = 0;
+  Nanos stop_at_ = 0;
+  Nanos last_progress_ = 0;
+  bool progressed_ = false;
+  int trial_good_ = 0;
+  DecayingSum runs_{3 * kSecond};
+  DecayingSum failures_{3 * kSecond};
+
+  std::vector<GroupRow> rows_;
+  std::vector<DecayingSum> customer_rate_;
+  DecayingMean core_time_;
+  DecayingMean call_time_;
+  DecayingMean crowd_{250 * kMs};
+  DecayingSum denied_{kSecond};
+  double call_credit_ = 1;
+  Nanos credited_ = 0;
+  Nanos advertised_ = 0;
+};
+
+// The life of an exchange. What is not listed changes nothing.
+const std::array<Controller::Core::Step, 27> Controller::Core::kSteps = {{
+    {Phase::kRead, Input::kAdmit, Phase::kHeld, &Core::hold},
+    {Phase::kRead, Input::kJoin, Phase::kAttached, &Core::join},
+    {Phase::kRead, Input::kDeny, Phase::kOver, &Core::deny},
+    {Phase::kRead, Input::kGiveUp, Phase::kOver, &Core::give_up_held},
+    {Phase::kHeld, Input::kStart, Phase::kRunning, &Core::run},
+    {Phase::kHeld, Input::kDeny, Phase::kOver, &Core::deny},
+    {Phase::kHeld, Input::kGiveUp, Phase::kOver, &Core::give_up_held},
+    {Phase::kHeld, Input::kGone, Phase::kOver, &Core::gone_held},
+    {Phase::kAttached, Input::kGone, Phase::kOver, &Core::gone_held},
+    {Phase::kRunning, Input::kNeedsCall, Phase::kAtCall, &Core::wait_to_call},
+    {Phase::kRunning, Input::kDone, Phase::kOver, &Core::finish},
+    {Phase::kRunning, Input::kGiveUp, Phase::kAbandoned, &Core::give_up},
+    {Phase::kRunning, Input::kGone, Phase::kAbandoned, &Core::gone},
+    {Phase::kAtCall, Input::kIssue, Phase::kCalling, &Core::issue},
+    {Phase::kAtCall, Input::kSkip, Phase::kRunning, &Core::skip},
+    {Phase::kAtCall, Input::kGiveUp, Phase::kAbandoned, &Core::give_up},
+    {Phase::kAtCall, Input::kGone, Phase::kAbandoned, &Core::gone},
+    {Phase::kAtCall, Input::kDone, Phase::kOver, &Core::finish},
+    {Phase::kCalling, Input::kCallOk, Phase::kRunning, &Core::call_ok},
+    {Phase::kCalling, Input::kCallNone, Phase::kAtCall, &Core::call_none},
+    {Phase::kCalling, Input::kCallLost, Phase::kAtCall, &Core::call_lost},
+    {Phase::kCalling, Input::kGiveUp, Phase::kAbandoned, &Core::give_up},
+    {Phase::kCalling, Input::kGone, Phase::kAbandoned, &Core::gone},
+    {Phase::kCalling, Input::kDone, Phase::kOver, &Core::finish},
+    {Phase::kAttached, Input::kDone, Phase::kOver, &Core::finish_abandoned},
+    {Phase::kAttached, Input::kGiveUp, Phase::kOver, &Core::give_up_held},
+    {Phase::kAbandoned, Input::kDone, Phase::kOver, &Core::finish_abandoned},
+}};
+
+// Why an arrival is turned away, first match first.
+const std::array<Controller::Core::Reason, 6> Controller::Core::kTurnedAway = {{
+    {"after the drain grace", &Core::came_after_grace},
+    {"no time left", &Core::no_time_left},
+    {"work here stands still or fails", &Core::sick},
+    {"memory", &Core::no_memory},
+    {"window", &Core::beyond_window},
+    {"room", &Core::beyond_room},
+}};
+
+// Why what stands at the front is turned away instead of started.
+const std::array<Controller::Core::Reason, 2> Controller::Core::kNotStarted = {{
+    {"likely to time out", &Core::likely_late},
+    {"past its SLO time", &Core::out_of_time},
+}};
+
+const std::array<Controller::Core::ModeStep, 6> Controller::Core::kModes = {{
+    {Mode::kServing, &Core::told_to_leave, Mode::kLeaving, &Core::turn_leaving, "notice to leave"},
+    {Mode::kStalled, &Core::told_to_leave, Mode::kLeaving, &Core::turn_leaving, "notice to leave"},
+    {Mode::kTrial, &Core::told_to_leave, Mode::kLeaving, &Core::turn_leaving, "notice to leave"},
+    {Mode::kServing, &Core::stands_still, Mode::kStalled, &Core::turn_sick, "no run moves"},
+    {Mode::kStalled, &Core::idle_while_stalled, Mode::kTrial, &Core::try_again, "a run moved"},
+    {Mode::kTrial, &Core::proven, Mode::kServing, &Core::turn_well, "trial runs went well"},
+}};
+
+bool Controller::Core::apply(Exchange& ex, Input input) {
+  for (const Step& step : kSteps) {
+    if (step.phase != ex.phase || step.input != input) continue;
+    ex.phase = step.next;
+    (this->*step.effect)(ex);
+    if (ex.phase == Phase::kOver) close(ex);
+    return true;
+  }
+  return false;
+}
+
+// ---- Inputs
+
+void Controller::Core::start(Nanos now) {
+  now_ = started_ = last_progress_ = credited_ = now;
+  host_.report_health(true);
+  host_.ring_in(kBeat, 0);
+}
+
+void Controller::Core::read(Exchange& ex) {
+  ex.due = std::max(now_, ex.gives_up_at ? ex.gives_up_at : ex.arrived + ex.group->async_timeout);
+  ex.phase = Phase::kRead;
+  open_.push_back(&ex);
+  if (ex.customer) {
+    customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].add(0.5, now_);
+  }
+  // A repeat of a deduplicated exchange that runs, has run or is held here is never run again. It gets the
+  // other's result; an id no longer known is one that has run. Two tries in one batch name each other, and one
+  // turned away unrun binds nobody.
+  bool other_unread = ex.prior && ex.prior->phase == Phase::kRead;
+  bool other_unrun = ex.prior && ex.prior->phase == Phase::kOver && !ex.prior->ran;
+  if (ex.repeats && !other_unread && !other_unrun) {
+    bool after_grace = came_after_grace(ex);
+    if (ex.group->effect != Effect::kRepeatable) {
+      apply(ex, after_grace || no_time_left(ex) ? Input::kGiveUp : Input::kJoin);
+      return;
+    }
+    if (!after_grace && !no_time_left(ex)) {
+      apply(ex, Input::kJoin);
+      return;
+    }
+  }
+  for (const Reason& reason : kTurnedAway) {
+    if (!(this->*reason.applies)(ex)) continue;
+    apply(ex, Input::kDeny);
+    return;
+  }
+  apply(ex, Input::kAdmit);
+}
+
+void Controller::Core::settled(Exchange& ex, Outcome outcome) {
+  if (ex.phase != Phase::kAttached && outcome != Outcome::kIgnored) {
+    bool answered = ex.answered || ex.phase == Phase::kAbandoned;
+    bool good = outcome == Outcome::kOk;
+    if (good || outcome == Outcome::kFailed) {
+      progress();
+      runs_.add(1, now_);
+      if (!good) failures_.add(1, now_);
+      if (good && !answered && now_ <= ex.due) {
+        timely();
+      } else if (good && !answered) {
+        late(ex);
+      }
+      trial_good_ = good ? trial_good_ + 1 : 0;
+    }
+    if (good) {
+      off_core(ex);
+      double spent = seconds(ex.core_time);
+      rows_[row_of(ex)].core_time.add(spent, now_);
+      rows_[row_of(ex)].run_time.add(seconds(now_ - ex.started), now_);
+      core_time_.add(spent, now_);
+    }
+  }
+  apply(ex, Input::kDone);
+}
+
+void Controller::Core::call_ended(Exchange& ex, Outcome outcome, Nanos took) {
+  if (outcome != Outcome::kFull && outcome != Outcome::kUnreachable) call_time_.add(seconds(took), now_);
+  bool never_ran = outcome == Outcome::kFull || outcome == Outcome::kUnreachable;
+  progress();
+  apply(ex, outcome == Outcome::kOk ? Input::kCallOk : never_ran ? Input::kCallNone : Input::kCallLost);
+}
+
+void Controller::Core::rang(const Gauges& gauges) {
+  host_.ring_in(kBeat, 0);
+  follow_gauges(gauges);
+  answer_due();
+  advertise();
+}
+
+void Controller::Core::leave_by(Nanos stop_at) { notice_ = now_, stop_at_ = stop_at; }
+
+// ---- Effects
+
+void Controller::Core::hold(Exchange& ex) {
+  ex.position = next_position();
+  ex.admitted = now_;
+  set_memory(ex, ex.held_kb);
+  held_.push_back(&ex);
+  // Kept while held, so that a repeat names it instead of looking like new work.
+  Nanos lifetime = 0;
+  if (ex.group->effect == Effect::kDeduplicated) lifetime = ex.group->repeat_window;
+  if (ex.group->effect == Effect::kRepeatable && ex.has_subject && !ex.writes) lifetime = terms_.fresh_for;
+  if (lifetime <= 0) return;
+  ex.kept = true;
+  ex.key_until = now_ + lifetime;
+  keys_.insert(ex.key_until);
+  host_.keep_key(ex, lifetime);
+}
+
+void Controller::Core::join(Exchange& ex) {
+  set_memory(ex, ex.held_kb);
+  host_.attach(ex);
+}
+
+void Controller::Core::deny(Exchange& ex) {
+  denied_.add(1, now_);
+  leave_hold(ex);
+  host_.deny(ex, false, stay_away());
+}
+
+void Controller::Core::run(Exchange& ex) {
+  std::erase(held_, &ex);
+  ex.ran = true;
+  ex.started = now_;
+  set_memory(ex, ex.held_kb * terms_.run_factor);
+  if (on_core_ == 0) last_progress_ = now_;
+  on_core(ex);
+  host_.run(ex);
+}
+
+void Controller::Core::wait_to_call(Exchange& ex) {
+  off_core(ex);
+  ex.since = now_;
+  to_call_.push_back(&ex);
+}
+
+void Controller::Core::issue(Exchange& ex) {
+  std::erase(to_call_, &ex);
+  ex.call_out = true;
+  ++calling_;
+  host_.call(ex, std::max<Nanos>(kMs, ex.due - now_));
+}
+
+void Controller::Core::skip(Exchange& ex) {
+  std::erase(to_call_, &ex);
+  on_core(ex);
+  host_.skip_call(ex);
+}
+
+void Controller::Core::call_ok(Exchange& ex) {
+  leave_call(ex);
+  on_core(ex);
+}
+
+void Controller::Core::call_none(Exchange& ex) {
+  leave_call(ex);
+  to_call_.push_back(&ex);
+}
+
+void Controller::Core::call_lost(Exchange& ex) {
+  call_none(ex);
+  ex.call_lost = true;
+}
+
+void Controller::Core::finish(Exchange& ex) {
+  off_core(ex);
+  leave_call(ex);
+}
+
+void Controller::Core::finish_abandoned(Exchange& ex) { off_core(ex); }
+
+// The final answer to what has run or may have: an error that promises nothing. Work that can be stopped is,
+// unless a repeat may still want its result.
+void Controller::Core::give_up(Exchange& ex) {
+  if (!ex.answered) {
+    host_.terminate(ex);
+    late(ex);
+  }
+  ex.answered = true;
+  leave_call(ex);
+  if (ex.on_core && terms_.stop_mode != StopMode::kNone && ex.group->effect == Effect::kRepeatable) {
+    host_.stop_work(ex);
+  }
+}
+
+void Controller::Core::give_up_held(Exchange& ex) {
+  leave_hold(ex);
+  host_.terminate(ex);
+  if (ex.position) late(ex);
+}
+
+void Controller::Core::gone(Exchange& ex) {
+  late(ex);
+  ex.answered = true;
+  give_up(ex);
+}
+
+void Controller::Core::gone_held(Exchange& ex) { leave_hold(ex); }
+
+// ---- Turning away
+
+bool Controller::Core::came_after_grace(const Exchange& ex) const {
+  return stop_at_ != 0 && ex.arrived > notice_ + terms_.drain_grace;
+}
+
+bool Controller::Core::sick(const Exchange&) const {
+  if (mode_ == Mode::kStalled) return true;
+  return mode_ == Mode::kTrial && static_cast<int>(held_.size()) + on_core_ >= kTrialRuns;
+}
+
+// Held and running exchanges and kept keys share one memory, and past it the server dies. A key that has no
+// room would let an effect happen twice, so what needs one is denied before it runs.
+bool Controller::Core::no_memory(const Exchange& ex) const {
+  return memory() + ex.held_kb + terms_.key_kb > kHoldMemory * terms_.memory_kb;
+}
+
+bool Controller::Core::beyond_room(const Exchange& ex) const {
+  if (held_.empty() && can_start(ex)) return false;
+  return next_position() > room(ex);
+}
+
+bool Controller::Core::out_of_time(const Exchange& ex) const {
+  double left = seconds(ex.arrived + ex.group->slo_time - now_);
+  bool wanted_behind = held_.size() > 1;
+  return wanted_behind && ex.group->late_benefit < 0.5 && left < 0.5 * run_time(row_of(ex));
+}
+
+// ---- Modes
+
+void Controller::Core::change_modes() {
+  for (const ModeStep& step : kModes) {
+    if (step.mode != mode_ || !(this->*step.when)()) continue;
+    char line[160];
+    std::snprintf(line, sizeof line,
+                  "%s -> %s: %s; on cores %d, held %zu, window %d, limit %.1f, core time %.3f s, failed %.2f",
+                  name_of(mode_), name_of(step.next), step.why, on_core_, held_.size(), window_, limit_,
+                  core_time(), failed_share());
+    host_.log(line);
+    mode_ = step.next;
+    (this->*step.effect)();
+    break;
+  }
+  progressed_ = false;
+}
+
+// Guards against work that hangs while reading goes on. Ends of runs that are spread by chance leave a quiet of
+// this length about once in e^(kSilence + runs). A sudden slowdown of several times looks the same at first; it
+// costs a short trial.
+bool Controller::Core::stands_still() const {
+  if (runs_fail()) return true;
+  if (on_core_ == 0) return false;
+  return seconds(now_ - last_progress_) > core_time() * (1 + kSilence / on_core_);
+}
+
+void Controller::Core::turn_sick() {
+  host_.report_health(false);
+  while (!held_.empty()) apply(*held_.front(), Input::kDeny);
+}
+
+void Controller::Core::turn_well() {
+  failures_ = runs_ = DecayingSum(3 * kSecond);
+  host_.report_health(true);
+}
+
+// ---- Measures
+
+double Controller::Core::warm_share() const {
+  if (!terms_.cold || terms_.warm_within <= 0) return 1;
+  double part = seconds(now_ - started_) / seconds(terms_.warm_within);
+  return std::min(1.0, terms_.cold_from + (1 - terms_.cold_from) * part);
+}
+
+// The crowd that the server survives, calls that may all come back at once included, with a margin.
+double Controller::Core::ceiling() const {
+  return std::max(1.0, kCeiling * terms_.cores * (1 + (terms_.crowd_factor - 1) * warm_share()));
+}
+
+double Controller::Core::core_time_guess(std::size_t row) const {
+  return seconds(terms_.groups[row].slo_time) / kWorkOfSlo / warm_share();
+}
+
+double Controller::Core::core_time(std::size_t row) const {
+  return rows_[row].core_time.mean(core_time_guess(row), now_);
+}
+
+double Controller::Core::run_time(std::size_t row) const {
+  return rows_[row].run_time.mean(core_time_guess(row), now_);
+}
+
+// Benefit for the work it takes.
+double Controller::Core::worth(std::size_t row) const {
+  return terms_.groups[row].benefit / (terms_.benefit_by_work ? 1 : core_time(row));
+}
+
+// What a customer sends beyond its quota earns little, and nobody tells which exchanges those are: as seen here,
+// each one earns on average what the quota's part of the customer's rate does.
+double Controller::Core::customer_factor(const Exchange& ex) const {
+  if (!ex.customer || ex.customer->quota_per_s <= 0) return 1;
+  double rate = customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].read(now_);
+  double within = std::min(1.0, ex.customer->quota_per_s / terms_.servers / std::max(rate, 1e-9));
+  return within + (1 - within) * terms_.over_share_benefit;
+}
+
+// maxWindow: the positions from which an answer can still come within the SLO time at the measured pace. What
+// earns less stays below the room of all that earns more, and below a share of it.
+double Controller::Core::room(const Exchange& ex) const {
+  std::size_t own = row_of(ex);
+  double best = 0;
+  double least = window_;
+  for (std::size_t row = 0; row < rows_.size(); ++row) {
+    best = std::max(best, worth(row));
+    if (worth(row) < worth(own)) continue;
+    double budget = kSloUsed * seconds(terms_.groups[row].slo_time) - run_time(row);
+    least = std::min(least, pace() * (row == own ? budget - call_wait(ex) : budget));
+  }
+  double value = worth(own) / best * customer_factor(ex);
+  return least * (kLeastRoom + (1 - kLeastRoom) * value);
+}
+
+double Controller::Core::call_rate() const {
+  return kCallsUsed * terms_.calls_share / std::max(0.001, call_time_.mean(0.05, now_));
+}
+
+double Controller::Core::call_wait(const Exchange& ex) const {
+  if (!ex.group->makes_calls || !terms_.has_dependency || ex.group->skip_benefit > 0) return 0;
+  return static_cast<double>(to_call_.size()) / call_rate();
+}
+
+bool Controller::Core::can_start(const Exchange& ex) const {
+  double in_calls = static_cast<double>(to_call_.size()) + calling_;
+  if (mode_ == Mode::kStalled || on_core_ + 1 > (mode_ == Mode::kTrial ? kTrialRuns : limit_)) return false;
+  if (on_core_ + in_calls + 1 > ceiling()) return false;
+  return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
+}
+
+Nanos Controller::Core::stay_away() const {
+  if (mode_ == Mode::kStalled || mode_ == Mode::kTrial || mode_ == Mode::kLeaving) return terms_.longest_pause;
+  double wait = static_cast<double>(held_.size()) / pace();
+  return std::min(terms_.longest_pause, static_cast<Nanos>(0.5 * wait * static_cast<double>(kSecond)));
+}
+
+// ---- Upkeep
+
+void Controller::Core::timely() {
+  if (++successes_ % kStep == 0) ++window_;
+  window_ = std::min(window_, kStartPerCore * kStartPerCore * min_window_);
+}
+
+void Controller::Core::late(Exchange& ex) {
+  successes_ = 0;
+  last_cut_ = now_;
+  window_ = std::min(window_, std::max(min_window_, ex.position - kStep));
+}
+
+void Controller::Core::on_core(Exchange& ex) {
+  ex.on_core = true;
+  ex.since = now_;
+  ++on_core_;
+}
+
+void Controller::Core::off_core(Exchange& ex) {
+  if (!ex.on_core) return;
+  ex.on_core = false;
+  ex.core_time += now_ - ex.since;
+  --on_core_;
+}
+
+// Out of the hold without having run: its key must not bind repeats.
+void Controller::Core::leave_hold(Exchange& ex) {
+  std::erase(held_, &ex);
+  if (!ex.kept) return;
+  ex.kept = false;
+  if (auto key = keys_.find(ex.key_until); key != keys_.end()) keys_.erase(key);
+  host_.drop_key(ex);
+}
+
+// An abandoned call stays below for a while and counts there.
+void Controller::Core::leave_call(Exchange& ex) {
+  std::erase(to_call_, &ex);
+  if (!ex.call_out) return;
+  ex.call_out = false;
+  --calling_;
+  if (ex.phase == Phase::kAbandoned) lingering_.insert(now_ + terms_.call_lingers);
+}
+
+void Controller::Core::close(Exchange& ex) {
+  set_memory(ex, 0);
+  std::erase(open_, &ex);
+  host_.release(ex);
+}
+
+// Every exchange is answered before its due time, and all of them before the stop, whatever still runs.
+void Controller::Core::answer_due() {
+  std::vector<Exchange*> due;
+  bool stopping = stop_at_ != 0 && stop_at_ - now_ <= 4 * lead();
+  for (Exchange* ex : open_) {
+    if (!ex->answered && (stopping || ex->due - now_ <= lead())) due.push_back(ex);
+  }
+  for (Exchange* ex : due) apply(*ex, ex->phase == Phase::kHeld ? Input::kDeny : Input::kGiveUp);
+}
+
+void Controller::Core::pump() {
+  while (!keys_.empty() && *keys_.begin() < now_) keys_.erase(keys_.begin());
+  while (!lingering_.empty() && *lingering_.begin() < now_) lingering_.erase(lingering_.begin());
+  change_modes();
+  while (!held_.empty()) {
+    Exchange& front = *held_.front();
+    bool denied = false;
+    for (const Reason& reason : kNotStarted) denied = denied || (this->*reason.applies)(front);
+    if (!denied && !can_start(front)) break;
+    apply(front, denied ? Input::kDeny : Input::kStart);
+  }
+  pump_calls();
+}
+
+bool Controller::Core::may_call() {
+  double held = calling_ + static_cast<double>(lingering_.size());
+  return call_credit_ >= 1 && held + 1 <= std::max(1.0, terms_.calls_share);
+}
+
+// Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time. A
+// slow dependency thus holds back only what calls it. What may do without is let go once its wait would cost it
+// the SLO time; a lost call of what must not happen twice ends the exchange.
+void Controller::Core::pump_calls() {
+  double rate = call_rate();
+  call_credit_ = std::min(std::max(1.0, terms_.calls_share), call_credit_ + rate * seconds(now_ - credited_));
+  credited_ = now_;
+  std::deque<Exchange*> waiting = to_call_;
+  for (Exchange* ex : waiting) {
+    bool repeatable = ex->group->effect == Effect::kRepeatable;
+    bool skippable = ex->group->skip_benefit > 0;
+    double left = seconds(ex->arrived + ex->group->slo_time - now_);
+    bool hurried = left < core_time(row_of(*ex)) + call_time_.mean(0.05, now_) || ex->call_lost;
+    if (skippable && hurried) {
+      apply(*ex, Input::kSkip);
+    } else if (ex->call_lost && !repeatable) {
+      apply(*ex, Input::kGiveUp);
+    } else if (may_call()) {
+      call_credit_ -= 1;
+      apply(*ex, Input::kIssue);
+    }
+  }
+}
+
+void Controller::Core::follow_gauges(const Gauges& gauges) {
+  if (gauges.on_cores) crowd_.add(*gauges.on_cores, now_);
+  double crowd = crowd_.mean(terms_.cores, now_);
+  if (!held_.empty() && on_core_ + 1 > limit_ && crowd < terms_.cores) limit_ += kGrowth;
+  if (crowd > kCrowded * terms_.cores) limit_ -= kGrowth;
+  limit_ = std::clamp(limit_, static_cast<double>(terms_.cores), std::max(ceiling(), 1.0 * terms_.cores));
+}
+
+void Controller::Core::advertise() {
+  if (terms_.free_value == FreeValue::kNone || now_ - advertised_ < 250 * kMs) return;
+  advertised_ = now_;
+  bool well = mode_ == Mode::kServing;
+  double full = std::min(1.0, static_cast<double>(held_.size()) / std::max(1.0, 1.0 * window_));
+  if (terms_.free_value == FreeValue::kAllowance) {
+    host_.advertise(well ? std::max(1.0, (limit_ + window_) / terms_.callers) : 0.1);
+  } else if (terms_.free_value == FreeValue::kWeight) {
+    host_.advertise(well ? 1 - 0.5 * full : 0.02);
+  } else {
+    host_.advertise(well ? 0 : 1);
+  }
+}
+
+// ---- The interface
+
+Controller::Controller(const ServiceTerms& terms, Host& host, std::uint64_t seed)
+    : core_(std::make_unique<Core>(terms, host, seed)) {}
+Controller::~Controller() = default;
+
+void Controller::start(Nanos now) { core_->start(now); }
+
+void Controller::read(Exchange& ex, Nanos now) { core_->at(now), core_->read(ex), core_->pump(); }
+
+void Controller::reached_call(Exchange& ex, Nanos now) { core_->at(now), core_->reached_call(ex), core_->pump(); }
+
+void Controller::call_ended(Exchange& ex, Outcome outcome, Nanos took, Nanos now) {
+  core_->at(now), core_->call_ended(ex, outcome, took), core_->pump();
+}
+
+void Controller::settled(Exchange& ex, Outcome outcome, Nanos now) {
+  core_->at(now), core_->settled(ex, outcome), core_->pump();
+}
+
+void Controller::caller_gone(Exchange& ex, Nanos now) { core_->at(now), core_->caller_gone(ex), core_->pump(); }
+
+void Controller::rang(std::uint64_t, const Gauges& gauges, Nanos now) {
+  core_->at(now), core_->rang(gauges), core_->pump();
+}
+
+void Controller::leave_by(Nanos stop_at, Nanos now) { core_->at(now), core_->leave_by(stop_at), core_->pump(); }
+
+}  // namespace myrtlecroft
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,275 @@
+#include <gtest/gtest.h>
+
+#include "fake_host.h"
+
+namespace myrtlecroft {
+namespace {
+
+// A server whose window alone decides: SLO times far away, so that the room never binds.
+ServiceTerms window_only() {
+  ServiceTerms terms = two_core_terms();
+  for (EndpointGroup& group : terms.groups) group.slo_time = 3600 * kSecond;
+  return terms;
+}
+
+TEST(Window, DeniesBeyondFourTimesTheCoresAndStartsInArrivalOrder) {
+  FakeHost host(window_only());
+  host.read_many(2 + 8);
+  EXPECT_EQ(host.count("run"), 2);
+  EXPECT_EQ(host.count("deny"), 0);
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+  host.settle(host.exchanges[0]);
+  EXPECT_EQ(host.last_of(host.exchanges[2]), "run");
+  EXPECT_EQ(host.last_of(host.exchanges[3]), "");
+}
+
+TEST(Window, GrowsByOneEachTenthTimelyAnswer) {
+  FakeHost host(window_only());
+  host.serve(10);
+  host.read_many(2 + 9);
+  EXPECT_EQ(host.count("deny"), 0);
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+}
+
+TEST(Window, FailedAndLateEndsAreNoSuccess) {
+  FakeHost host(window_only());
+  host.serve(9);
+  Exchange& failed = host.read();
+  host.pass(100 * kMs);
+  host.settle(failed, Outcome::kFailed);
+  Exchange& abandoned = host.read();
+  host.pass(5 * kSecond);
+  EXPECT_EQ(host.last_of(abandoned), "terminate");
+  host.settle(abandoned);
+  host.serve(9);
+  host.read_many(2 + 2);  // the late answer had position 1: the window is at its floor
+  EXPECT_EQ(host.count("deny"), 0);
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+}
+
+TEST(Window, FrontCheckDeniesWhatACutHasLeftFarBeyond) {
+  ServiceTerms terms = window_only();
+  terms.cores = 4;
+  FakeHost host(terms);
+  host.read_many(4);
+  host.read(kReadGroup, [&](Exchange& ex) { ex.gives_up_at = host.now + kSecond; });
+  host.read_many(15);
+  Exchange& last = host.exchanges.back();
+  EXPECT_EQ(last.position, 16);
+  host.settle(host.exchanges[0]);
+  host.pass(kSecond);
+  EXPECT_EQ(host.last_of(host.exchanges[4]), "terminate");  // a cut to the floor of 4
+  for (Exchange& ex : host.exchanges) host.settle(ex);
+  EXPECT_EQ(host.last_of(last), "deny");
+  EXPECT_EQ(host.last_of(host.exchanges[12]), "run");
+}
+
+TEST(Due, RunningWorkIsTerminatedBeforeItsDueTimeAndKeepsItsCore) {
+  FakeHost host;
+  Exchange& first = host.read(kReadGroup, [&](Exchange& ex) { ex.gives_up_at = host.now + kSecond; });
+  Exchange& second = host.read();
+  host.pass(kSecond - 100 * kMs);
+  EXPECT_EQ(host.last_of(first), "run");
+  host.pass(100 * kMs);
+  EXPECT_EQ(host.last_of(first), "terminate");
+  EXPECT_EQ(host.last_of(second), "run");
+  Exchange& third = host.read();
+  EXPECT_EQ(host.last_of(third), "");
+  host.settle(first);
+  EXPECT_EQ(host.last_of(third), "run");
+}
+
+TEST(Due, StoppableWorkIsStoppedOnceAnswered) {
+  ServiceTerms terms = two_core_terms();
+  terms.stop_mode = StopMode::kFreeze;
+  FakeHost host(terms);
+  Exchange& ex = host.read();
+  Exchange& write = host.read(kWriteGroup);
+  host.pass(5 * kSecond);
+  EXPECT_EQ(host.last_of(ex), "stop");
+  EXPECT_EQ(host.last_of(write), "terminate");
+}
+
+TEST(Keys, ARepeatOfOneHeldRunningOrDoneJoinsItAndIsNeverRun) {
+  FakeHost host;
+  Exchange& first = host.read(kWriteGroup);
+  EXPECT_EQ(host.count("keep"), 1);
+  EXPECT_GE(host.kept_for, 10 * kSecond);
+  EXPECT_EQ(host.last_of(host.repeat_of(first)), "attach");
+  host.settle(first);
+  EXPECT_EQ(host.last_of(host.repeat_of(first)), "attach");
+  Exchange& unknown = host.read(kWriteGroup, [](Exchange& ex) { ex.repeats = true; });
+  EXPECT_EQ(host.last_of(unknown), "attach");
+}
+
+TEST(Keys, TwoTriesInOneBatchNameEachOtherAndOneRuns) {
+  FakeHost host;
+  Exchange& second = host.exchanges.emplace_back();
+  Exchange& first = host.repeat_of(second);
+  second.group = first.group;
+  second.arrived = host.now;
+  second.repeats = true;
+  second.prior = &first;
+  host.controller.read(second, host.now);
+  EXPECT_EQ(host.last_of(first), "run");
+  EXPECT_EQ(host.last_of(second), "attach");
+}
+
+TEST(Keys, OneDeniedUnrunGivesUpItsKey) {
+  FakeHost host;
+  host.read_many(2);
+  Exchange& held = host.read(kWriteGroup);
+  host.pass(4950 * kMs);
+  EXPECT_EQ(host.count("drop key"), 1);
+  EXPECT_EQ(held.phase, Phase::kOver);
+}
+
+TEST(Keys, NoRoomForAKeyDeniesBeforeTheRun) {
+  ServiceTerms terms = two_core_terms();
+  terms.key_kb = 60'000;
+  FakeHost host(terms);
+  EXPECT_EQ(host.last_of(host.read(kWriteGroup)), "run");
+  EXPECT_EQ(host.last_of(host.read(kWriteGroup)), "deny");
+}
+
+TEST(Memory, NothingStartsThatWouldNotFit) {
+  ServiceTerms terms = two_core_terms();
+  terms.memory_kb = 100;
+  FakeHost host(terms);
+  host.read_many(2);
+  EXPECT_EQ(host.count("run"), 2);
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+}
+
+TEST(Crowd, TheRunningLimitGrowsWhileCoresIdleUpToTheColdCeiling) {
+  ServiceTerms terms = window_only();
+  terms.cold = true;
+  terms.cold_from = 0.5;
+  terms.crowd_factor = 4;
+  terms.warm_within = 100 * kSecond;
+  FakeHost host(terms);
+  host.read_many(10);
+  host.pass(kSecond, 0.5);
+  // 0.7 x 2 x (1 + 3 x a little over 0.5) is 3.5
+  EXPECT_EQ(host.count("run"), 3);
+}
+
+TEST(Calls, TheyGoOutWithinTheShareAndAreFollowedWhenAbandoned) {
+  FakeHost host;
+  Exchange& first = host.read(kCallerGroup);
+  Exchange& second = host.read(kCallerGroup);
+  host.controller.reached_call(first, host.now);
+  host.controller.reached_call(second, host.now);
+  EXPECT_EQ(host.count("call"), 1);
+  Exchange& third = host.read();
+  EXPECT_EQ(host.last_of(third), "run") << "a waiting call does not count as running";
+  host.pass(200 * kMs);
+  EXPECT_EQ(host.count("call"), 2);
+}
+
+TEST(Calls, ALostCallOfADeduplicatedExchangeIsNotRepeated) {
+  FakeHost host;
+  Exchange& ex = host.read(kCallerGroup);
+  host.controller.reached_call(ex, host.now);
+  host.controller.call_ended(ex, Outcome::kReset, 10 * kMs, host.now);
+  EXPECT_EQ(host.count("call"), 1);
+  EXPECT_EQ(host.last_of(ex), "terminate");
+}
+
+TEST(Calls, OneThatNeverRanIsRepeated) {
+  FakeHost host;
+  Exchange& ex = host.read(kCallerGroup);
+  host.controller.reached_call(ex, host.now);
+  host.controller.call_ended(ex, Outcome::kUnreachable, 10 * kMs, host.now);
+  host.pass(500 * kMs);
+  EXPECT_EQ(host.count("call"), 2);
+}
+
+TEST(Calls, ASlowDependencyIsLeftOutWhereThatKeepsBenefit) {
+  FakeHost host;
+  Exchange& caller = host.read(kCallerGroup);
+  host.controller.reached_call(caller, host.now);
+  Exchange& skipper = host.read(kSkipperGroup);
+  host.controller.reached_call(skipper, host.now);
+  host.pass(2 * kSecond);
+  host.controller.call_ended(skipper, Outcome::kTimedOut, kSecond, host.now);
+  EXPECT_EQ(host.last_of(skipper), "skip");
+}
+
+TEST(Drain, WhatComesAfterTheGraceIsDeniedAndAllIsAnsweredBeforeTheStop) {
+  FakeHost host;
+  Exchange& running = host.read(kWriteGroup);
+  host.controller.leave_by(host.now + 3 * kSecond, host.now);
+  EXPECT_FALSE(host.healthy);
+  host.pass(kSecond);
+  EXPECT_EQ(host.last_of(host.read()), "run");
+  host.pass(100 * kMs);
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+  EXPECT_EQ(host.last_of(host.repeat_of(running)), "terminate");
+  host.pass(1800 * kMs);
+  for (const Exchange& ex : host.exchanges) EXPECT_TRUE(ex.answered || ex.phase == Phase::kOver);
+}
+
+TEST(Modes, HungWorkIsReportedAndTrialRunsBringItBack) {
+  FakeHost host;
+  host.serve(20);
+  host.read_many(4);
+  host.pass(2 * kSecond);
+  EXPECT_FALSE(host.healthy);
+  EXPECT_EQ(host.count("deny"), 2) << "what was held is told at once";
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+  EXPECT_EQ(host.stay_away, host.terms.longest_pause);
+  for (Exchange& ex : host.exchanges) {
+    if (ex.phase == Phase::kRunning) host.settle(ex);
+  }
+  EXPECT_FALSE(host.healthy);
+  host.serve(10);
+  EXPECT_TRUE(host.healthy);
+}
+
+TEST(Modes, FastFailuresDoNotLookQuick) {
+  FakeHost host;
+  for (int i = 0; i < 10; ++i) {
+    Exchange& ex = host.read();
+    host.pass(25 * kMs);
+    host.settle(ex, Outcome::kFailed);
+  }
+  EXPECT_FALSE(host.healthy);
+}
+
+TEST(Room, FollowsThePaceAndTheSloTime) {
+  FakeHost host;
+  host.serve(40, 500 * kMs);
+  host.read_many(2);
+  int taken = 0;
+  while (host.last_of(host.read()) != "deny") ++taken;
+  EXPECT_GE(taken, 2);
+  EXPECT_LE(taken, 5) << "two cores, half a second each, two seconds of SLO time";
+}
+
+TEST(Room, ACustomerFarBeyondItsQuotaIsDeniedFirst) {
+  FakeHost host;
+  auto of = [&](int customer) {
+    return [&host, customer](Exchange& ex) { ex.customer = &host.terms.customers[static_cast<std::size_t>(customer)]; };
+  };
+  host.serve(20, 200 * kMs);
+  for (int i = 0; i < 14; ++i) host.read(kReadGroup, of(1));
+  EXPECT_EQ(host.last_of(host.read(kReadGroup, of(1))), "deny");
+  EXPECT_NE(host.last_of(host.read(kReadGroup, of(0))), "deny");
+}
+
+TEST(Front, WhatCanNoLongerMeetItsSloTimeGivesWay) {
+  ServiceTerms terms = two_core_terms();
+  FakeHost host(terms);
+  host.serve(10);
+  host.read_many(4);
+  host.pass(400 * kMs);
+  Exchange& old = host.exchanges[host.exchanges.size() - 2];
+  old.arrived -= 2 * kSecond;
+  host.settle(host.exchanges[host.exchanges.size() - 4]);
+  EXPECT_EQ(host.last_of(old), "deny");
+  EXPECT_EQ(host.last_of(host.exchanges.back()), "run");
+}
+
+}  // namespace
+}  // namespace myrtlecroft
