--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -46,6 +46,7 @@
 
 // Room, calls and modes.
 constexpr double kSloUsed = 0.85;      // of the SLO time that an exchange may be expected to take
+constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
 constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
 constexpr double kCallsUsed = 0.7;     // of our share of the dependency
@@ -148,7 +149,7 @@
     DecayingMean run_time;   // seconds from start to end
   };
   static const std::array<Step, 27> kSteps;
-  static const std::array<Reason, 6> kTurnedAway;
+  static const std::array<Reason, 7> kTurnedAway;
   static const std::array<Reason, 2> kNotStarted;
   static const std::array<ModeStep, 6> kModes;
 
@@ -305,11 +306,12 @@
 }};
 
 // Why an arrival is turned away, first match first.
-const std::array<Controller::Core::Reason, 6> Controller::Core::kTurnedAway = {{
+const std::array<Controller::Core::Reason, 7> Controller::Core::kTurnedAway = {{
     {"after the drain grace", &Core::came_after_grace},
     {"no time left", &Core::no_time_left},
     {"work here stands still or fails", &Core::sick},
     {"memory", &Core::no_memory},
+    {"past its SLO time", &Core::out_of_time},
     {"window", &Core::beyond_window},
     {"room", &Core::beyond_room},
 }};
@@ -351,6 +353,7 @@
 void Controller::Core::read(Exchange& ex) {
   ex.due = std::max(now_, ex.gives_up_at ? ex.gives_up_at : ex.arrived + ex.group->async_timeout);
   ex.phase = Phase::kRead;
+  ex.admitted = now_;
   open_.push_back(&ex);
   if (ex.customer) {
     customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].add(0.5, now_);
@@ -425,7 +428,6 @@
 
 void Controller::Core::hold(Exchange& ex) {
   ex.position = next_position();
-  ex.admitted = now_;
   set_memory(ex, ex.held_kb);
   held_.push_back(&ex);
   // Kept while held, so that a repeat names it instead of looking like new work.
@@ -551,9 +553,12 @@
   return next_position() > room(ex);
 }
 
+// A late answer earns little, and a core spent on it makes others late too. What waited long before it was read
+// has a backlog of unread ones behind it even when the hold is empty. With nobody behind it is run all the same.
 bool Controller::Core::out_of_time(const Exchange& ex) const {
   double left = seconds(ex.arrived + ex.group->slo_time - now_);
-  bool wanted_behind = held_.size() > 1;
+  double unread = seconds(ex.admitted - ex.arrived);
+  bool wanted_behind = held_.size() > (ex.position ? 1 : 0) || unread > kUnreadLong * seconds(ex.group->slo_time);
   return wanted_behind && ex.group->late_benefit < 0.5 && left < 0.5 * run_time(row_of(ex));
 }
 
@@ -643,7 +648,8 @@
     best = std::max(best, worth(row));
     if (worth(row) < worth(own)) continue;
     double budget = kSloUsed * seconds(terms_.groups[row].slo_time) - run_time(row);
-    least = std::min(least, pace() * (row == own ? budget - call_wait(ex) : budget));
+    if (row == own) budget -= seconds(now_ - ex.arrived) + call_wait(ex);
+    least = std::min(least, pace() * budget);
   }
   double value = worth(own) / best * customer_factor(ex);
   return least * (kLeastRoom + (1 - kLeastRoom) * value);
