Calls go out dearest first within a third of the share, with places of their own

Now calls use a third of the share, what can do without them goes on when the places are taken, and lateness at calls cuts no window.

--- a/include/myrtlecroft/exchange.h
+++ b/include/myrtlecroft/exchange.h
@@ -39,6 +39,7 @@
   bool call_out = false;
   bool call_lost = false;
   int position = 0;
+  int calls = 0;
   Nanos due = 0;
   Nanos admitted = 0;
   Nanos started = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,7 +49,8 @@
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
 constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
-constexpr double kCallsUsed = 0.7;     // of our share of the dependency
+constexpr double kCallsUsed = 0.35;    // of our share of the dependency, which slows down well before all is used
+constexpr double kCallsMost = 0.8;     // of our share, as a mean over its window
 constexpr double kSilence = 8;         // stalled when e^-(kSilence + runs) is how likely the quiet is
 constexpr double kFailShare = 0.3;     // of recent runs failed: failing
 constexpr double kFailCount = 6;
@@ -106,6 +107,7 @@
     min_window_ = std::max(1, terms_.cores);
     window_ = kStartPerCore * min_window_;
     limit_ = terms_.cores;
+    call_load_ = DecayingSum(std::max(kSecond, terms_.calls_window));
     rows_.resize(terms_.groups.size());
     customer_rate_.assign(terms_.customers.size(), DecayingSum(2 * kSecond));
   }
@@ -147,6 +149,7 @@
   struct GroupRow {
     DecayingMean core_time;  // seconds on the cores, calls left out
     DecayingMean run_time;   // seconds from start to end
+    DecayingMean calls;      // calls below for each run
   };
   static const std::array<Step, 27> kSteps;
   static const std::array<Reason, 7> kTurnedAway;
@@ -213,8 +216,14 @@
   double customer_factor(const Exchange& ex) const;
   double room(const Exchange& ex) const;
   double call_rate() const;
+  double call_time() const { return call_time_.mean(0.05, now_); }
   double call_wait(const Exchange& ex) const;
+  double call_worth(const Exchange& ex) const { return ex.group->benefit * (1 - ex.group->skip_benefit); }
+  double calls_held() const { return calling_ + static_cast<double>(lingering_.size()); }
+  int in_calls() const { return static_cast<int>(to_call_.size()) + calling_; }
+  int call_places() const { return std::max(1, static_cast<int>(ceiling() - limit_)); }
   bool may_call();
+  bool past_slo(const Exchange& ex) const { return ex.arrived + ex.group->slo_time < now_; }
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
   Nanos stay_away() const;
@@ -248,7 +257,6 @@
   int window_ = 0;
   int min_window_ = 0;
   int successes_ = 0;
-  Nanos last_cut_ = -1;
   double limit_ = 0;
   int on_core_ = 0;
   int calling_ = 0;
@@ -267,6 +275,7 @@
   std::vector<DecayingSum> customer_rate_;
   DecayingMean core_time_;
   DecayingMean call_time_;
+  DecayingSum call_load_;  // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_{kSecond};
   double call_credit_ = 1;
@@ -402,6 +411,7 @@
       double spent = seconds(ex.core_time);
       rows_[row_of(ex)].core_time.add(spent, now_);
       rows_[row_of(ex)].run_time.add(seconds(now_ - ex.started), now_);
+      rows_[row_of(ex)].calls.add(ex.calls, now_);
       core_time_.add(spent, now_);
     }
   }
@@ -465,6 +475,7 @@
 void Controller::Core::wait_to_call(Exchange& ex) {
   off_core(ex);
   ex.since = now_;
+  ++ex.calls;
   to_call_.push_back(&ex);
 }
 
@@ -656,18 +667,21 @@
 }
 
 double Controller::Core::call_rate() const {
-  return kCallsUsed * terms_.calls_share / std::max(0.001, call_time_.mean(0.05, now_));
+  return kCallsUsed * terms_.calls_share / std::max(0.001, call_time());
 }
 
+// How long the calls of one that can't do without them would wait for leave: behind all that are worth as much.
 double Controller::Core::call_wait(const Exchange& ex) const {
   if (!ex.group->makes_calls || !terms_.has_dependency || ex.group->skip_benefit > 0) return 0;
-  return static_cast<double>(to_call_.size()) / call_rate();
+  double ahead = 0;
+  for (const Exchange* other : to_call_) ahead += call_worth(*other) >= call_worth(ex);
+  return ahead / call_rate() * rows_[row_of(ex)].calls.mean(1, now_);
 }
 
 bool Controller::Core::can_start(const Exchange& ex) const {
-  double in_calls = static_cast<double>(to_call_.size()) + calling_;
   if (mode_ == Mode::kStalled || on_core_ + 1 > (mode_ == Mode::kTrial ? kTrialRuns : limit_)) return false;
-  if (on_core_ + in_calls + 1 > ceiling()) return false;
+  if (on_core_ + in_calls() + 1 > ceiling()) return false;
+  if (ex.group->makes_calls && in_calls() >= call_places()) return false;
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
@@ -684,9 +698,11 @@
   window_ = std::min(window_, kStartPerCore * kStartPerCore * min_window_);
 }
 
+// Position is a gauge of the wait in the hold. Where more time went by at calls below than in the hold, the lateness
+// is the dependency's, and a smaller window would only turn away what does not call it.
 void Controller::Core::late(Exchange& ex) {
   successes_ = 0;
-  last_cut_ = now_;
+  if (ex.ran && now_ - ex.started - ex.core_time > ex.started - ex.admitted && ex.calls > 0 && !ex.on_core) return;
   window_ = std::min(window_, std::max(min_window_, ex.position - kStep));
 }
 
@@ -752,26 +768,31 @@
 }
 
 bool Controller::Core::may_call() {
-  double held = calling_ + static_cast<double>(lingering_.size());
-  return call_credit_ >= 1 && held + 1 <= std::max(1.0, terms_.calls_share);
+  if (call_load_.read(now_) > kCallsMost * terms_.calls_share * seconds(terms_.calls_window)) return false;
+  return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, kCallsUsed * terms_.calls_share);
 }
 
-// Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time. A
-// slow dependency thus holds back only what calls it. What may do without is let go once its wait would cost it
-// the SLO time; a lost call of what must not happen twice ends the exchange.
+// Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time,
+// dearest first. A slow dependency thus holds back only what calls it: what may do without goes on once its wait
+// would cost it the SLO time or the places are taken, and what is past its SLO time gives up its place. A lost
+// call of what must not happen twice ends the exchange.
 void Controller::Core::pump_calls() {
-  double rate = call_rate();
-  call_credit_ = std::min(std::max(1.0, terms_.calls_share), call_credit_ + rate * seconds(now_ - credited_));
+  double passed = seconds(now_ - credited_);
+  call_load_.add(calls_held() * passed, now_);
+  call_credit_ = std::min(std::max(1.0, kCallsUsed * terms_.calls_share), call_credit_ + call_rate() * passed);
   credited_ = now_;
-  std::deque<Exchange*> waiting = to_call_;
+  std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [this](const Exchange* a, const Exchange* b) { return call_worth(*a) > call_worth(*b); });
   for (Exchange* ex : waiting) {
-    bool repeatable = ex->group->effect == Effect::kRepeatable;
-    bool skippable = ex->group->skip_benefit > 0;
     double left = seconds(ex->arrived + ex->group->slo_time - now_);
-    bool hurried = left < core_time(row_of(*ex)) + call_time_.mean(0.05, now_) || ex->call_lost;
-    if (skippable && hurried) {
+    bool hurried = left < core_time(row_of(*ex)) + 2 * call_time() || ex->call_lost;
+    bool crowded = in_calls() > call_places();
+    if (ex->group->skip_benefit > 0 && (hurried || crowded)) {
       apply(*ex, Input::kSkip);
-    } else if (ex->call_lost && !repeatable) {
+    } else if (ex->call_lost && ex->group->effect != Effect::kRepeatable) {
+      apply(*ex, Input::kGiveUp);
+    } else if (crowded && past_slo(*ex) && ex->group->late_benefit < 0.5) {
       apply(*ex, Input::kGiveUp);
     } else if (may_call()) {
       call_credit_ -= 1;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -163,6 +163,7 @@
   EXPECT_EQ(host.count("call"), 1);
   Exchange& third = host.read();
   EXPECT_EQ(host.last_of(third), "run") << "a waiting call does not count as running";
+  host.controller.call_ended(first, Outcome::kOk, 50 * kMs, host.now);
   host.pass(200 * kMs);
   EXPECT_EQ(host.count("call"), 2);
 }
