--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,7 +49,9 @@
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
 constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
-constexpr double kCallsUsed = 0.35;    // of our share of the dependency, which slows down well before all is used
+constexpr double kCallsQuick = 0.8;    // of our share of the dependency, while calls are quick
+constexpr double kCallsSlow = 0.3;     // and at least, when they are slow: it slows down well before all is used
+constexpr double kForget = 0.02;       // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost = 0.8;     // of our share, as a mean over its window
 constexpr double kSilence = 8;         // stalled when e^-(kSilence + runs) is how likely the quiet is
 constexpr double kFailShare = 0.3;     // of recent runs failed: failing
@@ -220,6 +222,9 @@
   double call_wait(const Exchange& ex) const;
   double call_worth(const Exchange& ex) const { return ex.group->benefit * (1 - ex.group->skip_benefit); }
   double calls_held() const { return calling_ + static_cast<double>(lingering_.size()); }
+  double calls_target() const {
+    return terms_.calls_share * std::clamp(kCallsQuick * quick_call_ / call_time(), kCallsSlow, kCallsQuick);
+  }
   int in_calls() const { return static_cast<int>(to_call_.size()) + calling_; }
   int call_places() const { return std::max(1, static_cast<int>(ceiling() - limit_)); }
   bool may_call();
@@ -275,6 +280,7 @@
   std::vector<DecayingSum> customer_rate_;
   DecayingMean core_time_;
   DecayingMean call_time_;
+  double quick_call_ = 1e9;  // the best recent time of a call
   DecayingSum call_load_;  // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_{kSecond};
@@ -667,7 +673,7 @@
 }
 
 double Controller::Core::call_rate() const {
-  return kCallsUsed * terms_.calls_share / std::max(0.001, call_time());
+  return calls_target() / std::max(0.001, call_time());
 }
 
 // How long the calls of one that can't do without them would wait for leave: behind all that are worth as much.
@@ -769,7 +775,7 @@
 
 bool Controller::Core::may_call() {
   if (call_load_.read(now_) > kCallsMost * terms_.calls_share * seconds(terms_.calls_window)) return false;
-  return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, kCallsUsed * terms_.calls_share);
+  return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
 // Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time,
@@ -779,7 +785,8 @@
 void Controller::Core::pump_calls() {
   double passed = seconds(now_ - credited_);
   call_load_.add(calls_held() * passed, now_);
-  call_credit_ = std::min(std::max(1.0, kCallsUsed * terms_.calls_share), call_credit_ + call_rate() * passed);
+  quick_call_ = std::min(call_time(), quick_call_ * (1 + kForget * passed));
+  call_credit_ = std::min(std::max(1.0, calls_target()), call_credit_ + call_rate() * passed);
   credited_ = now_;
   std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
   std::stable_sort(waiting.begin(), waiting.end(),
