A sick server invites trials again; what a due time cuts short counts as wanted by then

And callers that wait less than the SLO time were started in vain. Now a trial reports good health, a stall needs a quiet that the SLO time also notices, a guess weighs as two samples, and the earlier of SLO and due time is what counts.

--- a/include/myrtlecroft/exchange.h
+++ b/include/myrtlecroft/exchange.h
@@ -40,7 +40,8 @@
   bool call_lost = false;
   int position = 0;
   int calls = 0;
-  Nanos due = 0;
+  Nanos due = 0;              // a final answer is owed by then
+  Nanos wanted_by = 0;        // an answer after this earns little
   Nanos admitted = 0;
   Nanos started = 0;
   Nanos since = 0;            // start of its present stretch on a core or at a call
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -46,6 +46,7 @@
 
 // Room, calls and modes.
 constexpr double kSloUsed = 0.85;      // of the SLO time that an exchange may be expected to take
+constexpr double kLateIsFine = 0.5;    // share of the benefit kept past the SLO time from which that does not matter
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
 constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
@@ -54,14 +55,18 @@
 constexpr double kForget = 0.02;       // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost = 0.8;     // of our share, as a mean over its window
 constexpr double kSilence = 8;         // stalled when e^-(kSilence + runs) is how likely the quiet is
+constexpr double kSilentSlo = 0.4;     // and the quiet lasts this part of the shortest SLO time
+constexpr Nanos kRest = 3 * kSecond;   // sick at least this long once runs fail, and between trials
 constexpr double kFailShare = 0.3;     // of recent runs failed: failing
 constexpr double kFailCount = 6;
 constexpr int kTrialRuns = 2;          // at once
-constexpr int kProven = 10;            // good trial runs in a row that end the trial
+constexpr int kProven = 6;            // good trial runs in a row that end the trial
 
 constexpr Nanos kBeat = 25 * kMs;
 constexpr Nanos kRecent = 4 * kSecond;
 
+constexpr double kGuess = 2;
+
 // A sum in which what is older counts less, brought up to date when it is read.
 class DecayingSum {
  public:
@@ -81,10 +86,10 @@
  public:
   explicit DecayingMean(Nanos over = kRecent) : total_(over), weight_(over) {}
   void add(double x, Nanos now) { total_.add(x, now), weight_.add(1, now); }
-  // With nothing heard for long the ratio stands; a guess counts as one sample.
+  // A guess counts as some samples: what ends first is not typical of all that runs.
   double mean(double guess, Nanos now) const {
     double weight = weight_.read(now);
-    return (total_.read(now) + guess * 0.2) / (weight + 0.2);
+    return (total_.read(now) + guess * kGuess) / (weight + kGuess);
   }
 
  private:
@@ -156,7 +161,7 @@
   static const std::array<Step, 27> kSteps;
   static const std::array<Reason, 7> kTurnedAway;
   static const std::array<Reason, 2> kNotStarted;
-  static const std::array<ModeStep, 6> kModes;
+  static const std::array<ModeStep, 7> kModes;
 
   bool apply(Exchange& ex, Input input);
 
@@ -191,12 +196,20 @@
 
   // When modes change, and what that brings.
   bool stands_still() const;
-  bool idle_while_stalled() const { return on_core_ == 0 || progressed_; }
+  bool may_try() const {
+    bool rested = now_ - sick_since_ >= kRest;
+    return rested ? on_core_ == 0 || progressed_ : progressed_ && !runs_fail();
+  }
+  Nanos shortest_slo() const {
+    Nanos least = terms_.groups.front().slo_time;
+    for (const EndpointGroup& group : terms_.groups) least = std::min(least, group.slo_time);
+    return least;
+  }
   bool runs_fail() const { return runs_.read(now_) >= kFailCount && failed_share() > kFailShare; }
   bool proven() const { return trial_good_ >= kProven; }
   bool told_to_leave() const { return stop_at_ != 0; }
   void turn_sick();
-  void try_again() { trial_good_ = 0, window_ = std::min(window_, kStartPerCore * min_window_); }
+  void try_again();
   void turn_well();
   void turn_leaving() { host_.report_health(false); }
   void change_modes();
@@ -228,7 +241,6 @@
   int in_calls() const { return static_cast<int>(to_call_.size()) + calling_; }
   int call_places() const { return std::max(1, static_cast<int>(ceiling() - limit_)); }
   bool may_call();
-  bool past_slo(const Exchange& ex) const { return ex.arrived + ex.group->slo_time < now_; }
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
   Nanos stay_away() const;
@@ -271,6 +283,7 @@
   Nanos notice_ = 0;
   Nanos stop_at_ = 0;
   Nanos last_progress_ = 0;
+  Nanos sick_since_ = 0;
   bool progressed_ = false;
   int trial_good_ = 0;
   DecayingSum runs_{3 * kSecond};
@@ -337,12 +350,13 @@
     {"past its SLO time", &Core::out_of_time},
 }};
 
-const std::array<Controller::Core::ModeStep, 6> Controller::Core::kModes = {{
+const std::array<Controller::Core::ModeStep, 7> Controller::Core::kModes = {{
     {Mode::kServing, &Core::told_to_leave, Mode::kLeaving, &Core::turn_leaving, "notice to leave"},
     {Mode::kStalled, &Core::told_to_leave, Mode::kLeaving, &Core::turn_leaving, "notice to leave"},
     {Mode::kTrial, &Core::told_to_leave, Mode::kLeaving, &Core::turn_leaving, "notice to leave"},
     {Mode::kServing, &Core::stands_still, Mode::kStalled, &Core::turn_sick, "no run moves"},
-    {Mode::kStalled, &Core::idle_while_stalled, Mode::kTrial, &Core::try_again, "a run moved"},
+    {Mode::kStalled, &Core::may_try, Mode::kTrial, &Core::try_again, "a run moved"},
+    {Mode::kTrial, &Core::stands_still, Mode::kStalled, &Core::turn_sick, "trial runs went badly"},
     {Mode::kTrial, &Core::proven, Mode::kServing, &Core::turn_well, "trial runs went well"},
 }};
 
@@ -367,6 +381,7 @@
 
 void Controller::Core::read(Exchange& ex) {
   ex.due = std::max(now_, ex.gives_up_at ? ex.gives_up_at : ex.arrived + ex.group->async_timeout);
+  ex.wanted_by = ex.group->late_benefit < kLateIsFine ? std::min(ex.due, ex.arrived + ex.group->slo_time) : ex.due;
   ex.phase = Phase::kRead;
   ex.admitted = now_;
   open_.push_back(&ex);
@@ -573,10 +588,10 @@
 // A late answer earns little, and a core spent on it makes others late too. What waited long before it was read
 // has a backlog of unread ones behind it even when the hold is empty. With nobody behind it is run all the same.
 bool Controller::Core::out_of_time(const Exchange& ex) const {
-  double left = seconds(ex.arrived + ex.group->slo_time - now_);
+  double left = seconds(ex.wanted_by - now_);
   double unread = seconds(ex.admitted - ex.arrived);
   bool wanted_behind = held_.size() > (ex.position ? 1 : 0) || unread > kUnreadLong * seconds(ex.group->slo_time);
-  return wanted_behind && ex.group->late_benefit < 0.5 && left < 0.5 * run_time(row_of(ex));
+  return wanted_behind && left < 0.5 * run_time(row_of(ex));
 }
 
 // ---- Modes
@@ -603,19 +618,27 @@
 bool Controller::Core::stands_still() const {
   if (runs_fail()) return true;
   if (on_core_ == 0) return false;
-  return seconds(now_ - last_progress_) > core_time() * (1 + kSilence / on_core_);
+  double quiet = seconds(now_ - last_progress_);
+  return quiet > core_time() * (1 + kSilence / on_core_) && quiet > kSilentSlo * seconds(shortest_slo());
 }
 
+// What is held has not run: it is told at once, so that it can be tried elsewhere.
 void Controller::Core::turn_sick() {
+  sick_since_ = now_;
   host_.report_health(false);
   while (!held_.empty()) apply(*held_.front(), Input::kDeny);
 }
 
-void Controller::Core::turn_well() {
+// Health is good again from the first trial on: nobody would send what a trial needs otherwise.
+void Controller::Core::try_again() {
+  trial_good_ = 0;
   failures_ = runs_ = DecayingSum(3 * kSecond);
+  last_progress_ = now_;
   host_.report_health(true);
 }
 
+void Controller::Core::turn_well() { window_ = std::min(window_, kStartPerCore * min_window_); }
+
 // ---- Measures
 
 double Controller::Core::warm_share() const {
@@ -665,7 +688,7 @@
     best = std::max(best, worth(row));
     if (worth(row) < worth(own)) continue;
     double budget = kSloUsed * seconds(terms_.groups[row].slo_time) - run_time(row);
-    if (row == own) budget -= seconds(now_ - ex.arrived) + call_wait(ex);
+    if (row == own) budget = kSloUsed * seconds(ex.wanted_by - now_) - run_time(row) - call_wait(ex);
     least = std::min(least, pace() * budget);
   }
   double value = worth(own) / best * customer_factor(ex);
@@ -792,14 +815,14 @@
   std::stable_sort(waiting.begin(), waiting.end(),
                    [this](const Exchange* a, const Exchange* b) { return call_worth(*a) > call_worth(*b); });
   for (Exchange* ex : waiting) {
-    double left = seconds(ex->arrived + ex->group->slo_time - now_);
+    double left = seconds(ex->wanted_by - now_);
     bool hurried = left < core_time(row_of(*ex)) + 2 * call_time() || ex->call_lost;
     bool crowded = in_calls() > call_places();
     if (ex->group->skip_benefit > 0 && (hurried || crowded)) {
       apply(*ex, Input::kSkip);
     } else if (ex->call_lost && ex->group->effect != Effect::kRepeatable) {
       apply(*ex, Input::kGiveUp);
-    } else if (crowded && past_slo(*ex) && ex->group->late_benefit < 0.5) {
+    } else if (crowded && left < 0) {
       apply(*ex, Input::kGiveUp);
     } else if (may_call()) {
       call_credit_ -= 1;
