--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,7 +48,9 @@
 constexpr double kSloUsed = 0.85;      // of the SLO time that an exchange may be expected to take
 constexpr double kLateIsFine = 0.5;    // share of the benefit kept past the SLO time from which that does not matter
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
-constexpr double kSwamped = 0.5;       // of the shortest SLO time, spent unread by most: the server is of no use
+constexpr double kUselessly = 0.5;     // of the shortest SLO time, spent unread by most: the server is of no use
+constexpr double kUsual = 1.4;         // times its usual core time, and a server is slow for itself
+constexpr double kMuchDenied = 0.35;   // of what is read: more than uneven callers explain
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
 constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
 constexpr double kCallsQuick = 0.8;    // of our share of the dependency, while calls are quick
@@ -205,7 +207,7 @@
   // slowdown, or where callers choose by how quickly a server answers and take quick denials for that. Bad health
   // stops what comes; what can still be answered in time is taken. Harm: a fleet swamped as a whole has no better
   // place to send to.
-  bool swamped() const { return unread_.mean(0, now_) > kSwamped * seconds(shortest_slo()); }
+  bool swamped() const { return unread_.mean(0, now_) > kUselessly * seconds(shortest_slo()); }
   bool caught_up() const { return rested() && unread_.mean(0, now_) < kUnreadLong * seconds(shortest_slo()); }
   Nanos shortest_slo() const {
     Nanos least = terms_.groups.front().slo_time;
@@ -251,6 +253,13 @@
   bool may_call();
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
+  // As quick as it usually is and still denying much, this server is one of many that are short: a denial is then
+  // best passed to the client at once, as every further try costs another server its reading. Harm: where callers
+  // crowd that much on some servers while others idle.
+  bool fleet_short() const {
+    bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
+    return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
+  }
   Nanos stay_away() const;
 
   // Upkeep.
@@ -300,12 +309,15 @@
   std::vector<GroupRow> rows_;
   std::vector<DecayingSum> customer_rate_;
   DecayingMean core_time_;
+  DecayingMean pace_time_{2 * kSecond};    // core time as if nothing but runs shared the cores
+  DecayingMean usual_time_{60 * kSecond};  // the same, over long
   DecayingMean call_time_;
   double quick_call_ = 1e9;  // the best recent time of a call
   DecayingSum call_load_;  // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingMean unread_{kSecond};  // seconds between arrival and reading
-  DecayingSum denied_{kSecond};
+  DecayingSum denied_;
+  DecayingSum read_;
   double call_credit_ = 1;
   Nanos credited_ = 0;
   Nanos advertised_ = 0;
@@ -395,6 +407,7 @@
 void Controller::Core::read(Exchange& ex) {
   ex.due = std::max(now_, ex.gives_up_at ? ex.gives_up_at : ex.arrived + ex.group->async_timeout);
   ex.wanted_by = ex.group->late_benefit < kLateIsFine ? std::min(ex.due, ex.arrived + ex.group->slo_time) : ex.due;
+  read_.add(1, now_);
   unread_.add(seconds(now_ - ex.arrived), now_);
   ex.phase = Phase::kRead;
   ex.admitted = now_;
@@ -448,6 +461,9 @@
       rows_[row_of(ex)].run_time.add(seconds(now_ - ex.started), now_);
       rows_[row_of(ex)].calls.add(ex.calls, now_);
       core_time_.add(spent, now_);
+      double alone = spent * std::min(1.0, terms_.cores / std::max(1.0, crowd_.mean(terms_.cores, now_)));
+      pace_time_.add(alone, now_);
+      usual_time_.add(alone, now_);
     }
   }
   apply(ex, Input::kDone);
@@ -494,7 +510,7 @@
 void Controller::Core::deny(Exchange& ex) {
   denied_.add(1, now_);
   leave_hold(ex);
-  host_.deny(ex, false, stay_away());
+  host_.deny(ex, fleet_short(), stay_away());
 }
 
 void Controller::Core::run(Exchange& ex) {
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -106,7 +106,11 @@
 
   void run(Exchange& ex) override { note("run", &ex); }
   void stop_work(Exchange& ex) override { note("stop", &ex); }
-  void deny(Exchange& ex, bool, Nanos pause) override { note("deny", &ex), stay_away = pause; }
+  void deny(Exchange& ex, bool last, Nanos pause) override {
+    note("deny", &ex);
+    not_elsewhere = last;
+    stay_away = pause;
+  }
   void terminate(Exchange& ex) override { note("terminate", &ex); }
   void call(Exchange& ex, Nanos) override { note("call", &ex); }
   void skip_call(Exchange& ex) override { note("skip", &ex); }
@@ -125,6 +129,7 @@
   Nanos stay_away = 0;
   Nanos kept_for = 0;
   bool healthy = false;
+  bool not_elsewhere = false;
   double advertised = -1;
   std::deque<Exchange> exchanges;
   std::vector<std::pair<std::string, const Exchange*>> done;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -271,6 +271,28 @@
   EXPECT_NE(host.last_of(host.read(kReadGroup, of(0))), "deny");
 }
 
+TEST(Advice, ADenialIsPassedToTheClientOnlyWhereTheFleetIsShort) {
+  FakeHost host;
+  host.serve(20, 200 * kMs);
+  host.read_many(9);
+  EXPECT_EQ(host.last_of(host.read()), "deny");
+  EXPECT_FALSE(host.not_elsewhere) << "a few denials: others have room";
+  host.read_many(30);
+  EXPECT_TRUE(host.not_elsewhere);
+}
+
+TEST(Modes, ReadingTooLateIsReportedUntilTheBacklogIsGone) {
+  FakeHost host;
+  auto aged = [&](Nanos age) { return [&host, age](Exchange& ex) { ex.arrived = host.now - age; }; };
+  for (int i = 0; i < 5; ++i) host.read(kReadGroup, aged(1500 * kMs));
+  host.read();
+  EXPECT_FALSE(host.healthy);
+  for (Exchange& ex : host.exchanges) host.settle(ex);
+  host.pass(4 * kSecond, 1);
+  host.serve(3);
+  EXPECT_TRUE(host.healthy);
+}
+
 TEST(Front, WhatCanNoLongerMeetItsSloTimeGivesWay) {
   ServiceTerms terms = two_core_terms();
   FakeHost host(terms);
