--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -55,6 +55,7 @@
 constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
 constexpr double kCallsQuick = 0.8;    // of our share of the dependency, while calls are quick
 constexpr double kCallsSlow = 0.3;     // and at least, when they are slow: it slows down well before all is used
+constexpr double kSlowCalls = 3;       // times the best recent time: slow for all who call
 constexpr double kForget = 0.02;       // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost = 0.8;     // of our share, as a mean over its window
 constexpr double kSilence = 8;         // stalled when e^-(kSilence + runs) is how likely the quiet is
@@ -260,6 +261,9 @@
     bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
     return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
   }
+  bool dependency_slow(const Exchange& ex) const {
+    return ex.group->makes_calls && terms_.has_dependency && call_time() > kSlowCalls * quick_call_;
+  }
   Nanos stay_away() const;
 
   // Upkeep.
@@ -510,7 +514,7 @@
 void Controller::Core::deny(Exchange& ex) {
   denied_.add(1, now_);
   leave_hold(ex);
-  host_.deny(ex, fleet_short(), stay_away());
+  host_.deny(ex, fleet_short() || dependency_slow(ex), stay_away());
 }
 
 void Controller::Core::run(Exchange& ex) {
