--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -305,6 +305,7 @@
   Nanos stop_at_ = 0;
   Nanos last_progress_ = 0;
   Nanos bad_since_ = 0;
+  Nanos stalled_at_ = 0;
   bool progressed_ = false;
   int trial_good_ = 0;
   DecayingSum runs_{3 * kSecond};
@@ -458,7 +459,8 @@
       }
       trial_good_ = good ? trial_good_ + 1 : 0;
     }
-    if (good) {
+    // What spans a stall tells how long the stall was, not how long work takes.
+    if (good && ex.started >= stalled_at_) {
       off_core(ex);
       double spent = seconds(ex.core_time);
       rows_[row_of(ex)].core_time.add(spent, now_);
@@ -659,6 +661,7 @@
 // What is held has not run: it is told at once, so that it can be tried elsewhere.
 void Controller::Core::turn_sick() {
   turn_bad();
+  stalled_at_ = now_;
   while (!held_.empty()) apply(*held_.front(), Input::kDeny);
 }
 
@@ -670,7 +673,8 @@
   host_.report_health(true);
 }
 
-void Controller::Core::turn_well() { window_ = std::min(window_, kStartPerCore * min_window_); }
+// What a stall made late said nothing of positions: the window starts anew.
+void Controller::Core::turn_well() { window_ = kStartPerCore * min_window_; }
 
 // ---- Measures
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -232,6 +232,17 @@
   EXPECT_EQ(host.last_of(host.read()), "");
 }
 
+TEST(Modes, AfterAStallWindowAndPaceDoNotRememberIt) {
+  FakeHost host;
+  host.serve(20);
+  host.read_many(2);
+  host.pass(10 * kSecond);
+  for (Exchange& ex : host.exchanges) host.settle(ex);
+  host.serve(6);
+  host.read_many(2 + 7);
+  EXPECT_EQ(host.last_of(host.exchanges.back()), "") << "the window starts anew, and work takes what it took";
+}
+
 TEST(Modes, ASickServerThatGetsNoTrafficComesBackByItself) {
   FakeHost host;
   for (int i = 0; i < 10; ++i) host.settle(host.read(), Outcome::kFailed);
