--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -445,6 +445,7 @@
 }
 
 void Controller::Core::settled(Exchange& ex, Outcome outcome) {
+  if (ex.phase == Phase::kOver) return;
   if (ex.phase != Phase::kAttached && outcome != Outcome::kIgnored) {
     bool answered = ex.answered || ex.phase == Phase::kAbandoned;
     bool good = outcome == Outcome::kOk;
