--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,6 +37,8 @@
 
 // The running limit.
 constexpr double kGrowth = 0.25;   // a beat, while cores idle and work is held
+constexpr double kBusy = 0.95;     // of the cores' time in use
+constexpr double kRoomy = 1.2;     // on the cores, for each core: up to here use tells whether they idle
 constexpr double kCrowded = 1.5;   // on the cores, for each core: from here the limit falls back
 constexpr double kCeiling = 0.7;   // of the crowd that the server survives
 
@@ -872,7 +874,8 @@
 void Controller::Core::follow_gauges(const Gauges& gauges) {
   if (gauges.on_cores) crowd_.add(*gauges.on_cores, now_);
   double crowd = crowd_.mean(terms_.cores, now_);
-  if (!held_.empty() && on_core_ + 1 > limit_ && crowd < terms_.cores) limit_ += kGrowth;
+  bool idle = gauges.core_use ? *gauges.core_use < kBusy && crowd < kRoomy * terms_.cores : crowd < terms_.cores;
+  if (!held_.empty() && on_core_ + 1 > limit_ && idle) limit_ += kGrowth;
   if (crowd > kCrowded * terms_.cores) limit_ -= kGrowth;
   limit_ = std::clamp(limit_, static_cast<double>(terms_.cores), std::max(ceiling(), 1.0 * terms_.cores));
 }
