--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -50,7 +50,6 @@
 constexpr double kSloUsed = 0.85;      // of the SLO time that an exchange may be expected to take
 constexpr double kLateIsFine = 0.5;    // share of the benefit kept past the SLO time from which that does not matter
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
-constexpr double kUselessly = 0.5;     // of the shortest SLO time, spent unread by most: the server is of no use
 constexpr double kUsual = 1.4;         // times its usual core time, and a server is slow for itself
 constexpr double kMuchDenied = 0.35;   // of what is read: more than uneven callers explain
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
@@ -105,9 +104,9 @@
 
 double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
 
-enum class Mode { kServing, kSwamped, kStalled, kTrial, kLeaving };
+enum class Mode { kServing, kStalled, kTrial, kLeaving };
 const char* name_of(Mode mode) {
-  constexpr std::array<const char*, 5> names = {"serving", "swamped", "stalled", "trial", "leaving"};
+  constexpr std::array<const char*, 4> names = {"serving", "stalled", "trial", "leaving"};
   return names[static_cast<std::size_t>(mode)];
 }
 
@@ -167,7 +166,7 @@
   static const std::array<Step, 27> kSteps;
   static const std::array<Reason, 7> kTurnedAway;
   static const std::array<Reason, 2> kNotStarted;
-  static const std::array<ModeStep, 11> kModes;
+  static const std::array<ModeStep, 7> kModes;
 
   bool apply(Exchange& ex, Input input);
 
@@ -206,12 +205,6 @@
   bool may_try() const {
     return rested() ? on_core_ == 0 || progressed_ : progressed_ && !runs_fail();
   }
-  // Guards against a backlog of unread exchanges, which no decision here sees until it is read: after a pause, a
-  // slowdown, or where callers choose by how quickly a server answers and take quick denials for that. Bad health
-  // stops what comes; what can still be answered in time is taken. Harm: a fleet swamped as a whole has no better
-  // place to send to.
-  bool swamped() const { return unread_.mean(0, now_) > kUselessly * seconds(shortest_slo()); }
-  bool caught_up() const { return rested() && unread_.mean(0, now_) < kUnreadLong * seconds(shortest_slo()); }
   Nanos shortest_slo() const {
     Nanos least = terms_.groups.front().slo_time;
     for (const EndpointGroup& group : terms_.groups) least = std::min(least, group.slo_time);
@@ -224,7 +217,6 @@
   void try_again();
   void turn_well();
   void turn_bad() { bad_since_ = now_, host_.report_health(false); }
-  void turn_good() { host_.report_health(true); }
   void change_modes();
   double failed_share() const { return failures_.read(now_) / std::max(1.0, runs_.read(now_)); }
   void progress() { last_progress_ = now_, progressed_ = true; }
@@ -322,7 +314,6 @@
   double quick_call_ = 1e9;  // the best recent time of a call
   DecayingSum call_load_;  // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
-  DecayingMean unread_{kSecond};  // seconds between arrival and reading
   DecayingSum denied_;
   DecayingSum read_;
   double call_credit_ = 1;
@@ -378,16 +369,12 @@
     {"past its SLO time", &Core::out_of_time},
 }};
 
-const std::array<Controller::Core::ModeStep, 11> Controller::Core::kModes = {{
+const std::array<Controller::Core::ModeStep, 7> Controller::Core::kModes = {{
     {Mode::kServing, &Core::told_to_leave, Mode::kLeaving, &Core::turn_bad, "notice to leave"},
-    {Mode::kSwamped, &Core::told_to_leave, Mode::kLeaving, &Core::turn_bad, "notice to leave"},
     {Mode::kStalled, &Core::told_to_leave, Mode::kLeaving, &Core::turn_bad, "notice to leave"},
     {Mode::kTrial, &Core::told_to_leave, Mode::kLeaving, &Core::turn_bad, "notice to leave"},
     {Mode::kServing, &Core::stands_still, Mode::kStalled, &Core::turn_sick, "runs stand still or fail"},
-    {Mode::kSwamped, &Core::stands_still, Mode::kStalled, &Core::turn_sick, "runs stand still or fail"},
     {Mode::kTrial, &Core::stands_still, Mode::kStalled, &Core::turn_sick, "trial runs went badly"},
-    {Mode::kServing, &Core::swamped, Mode::kSwamped, &Core::turn_bad, "read too late"},
-    {Mode::kSwamped, &Core::caught_up, Mode::kServing, &Core::turn_good, "read in time"},
     {Mode::kStalled, &Core::may_try, Mode::kTrial, &Core::try_again, "a run moved, or rested"},
     {Mode::kTrial, &Core::proven, Mode::kServing, &Core::turn_well, "trial runs went well"},
 }};
@@ -415,7 +402,6 @@
   ex.due = std::max(now_, ex.gives_up_at ? ex.gives_up_at : ex.arrived + ex.group->async_timeout);
   ex.wanted_by = ex.group->late_benefit < kLateIsFine ? std::min(ex.due, ex.arrived + ex.group->slo_time) : ex.due;
   read_.add(1, now_);
-  unread_.add(seconds(now_ - ex.arrived), now_);
   ex.phase = Phase::kRead;
   ex.admitted = now_;
   open_.push_back(&ex);
