--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,13 +47,13 @@
 constexpr double kRunMemory = 0.92;
 
 // Room, calls and modes.
-constexpr double kSloUsed = 0.85;      // of the SLO time that an exchange may be expected to take
+constexpr double kSloUsed = 0.7;        // of the SLO time that an exchange may be expected to take
 constexpr double kLateIsFine = 0.5;    // share of the benefit kept past the SLO time from which that does not matter
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
 constexpr double kUsual = 1.4;         // times its usual core time, and a server is slow for itself
 constexpr double kMuchDenied = 0.35;   // of what is read: more than uneven callers explain
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
-constexpr double kWorkOfSlo = 6;       // first guess: SLO time over core time
+constexpr double kWorkOfSlo = 8;       // first guess: SLO time over core time
 constexpr double kCallsQuick = 0.8;    // of our share of the dependency, while calls are quick
 constexpr double kCallsSlow = 0.3;     // and at least, when they are slow: it slows down well before all is used
 constexpr double kSlowCalls = 3;       // times the best recent time: slow for all who call
