--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -235,6 +235,7 @@
   double worth(std::size_t row) const;
   double customer_factor(const Exchange& ex) const;
   double room(const Exchange& ex) const;
+  double widest_room() const;
   double call_rate() const;
   double call_time() const { return call_time_.mean(0.05, now_); }
   double call_wait(const Exchange& ex) const;
@@ -721,6 +722,15 @@
   return least * (kLeastRoom + (1 - kLeastRoom) * value);
 }
 
+// The most that any group may hold of what is fresh.
+double Controller::Core::widest_room() const {
+  double most = 1;
+  for (std::size_t row = 0; row < rows_.size(); ++row) {
+    most = std::max(most, pace() * (kSloUsed * seconds(terms_.groups[row].slo_time) - run_time(row)));
+  }
+  return std::min(most, 1.0 * window_);
+}
+
 double Controller::Core::call_rate() const {
   return calls_target() / std::max(0.001, call_time());
 }
@@ -872,7 +882,7 @@
   bool well = mode_ == Mode::kServing;
   double full = std::min(1.0, static_cast<double>(held_.size()) / std::max(1.0, 1.0 * window_));
   if (terms_.free_value == FreeValue::kAllowance) {
-    host_.advertise(well ? std::max(1.0, (limit_ + window_) / terms_.callers) : 0.1);
+    host_.advertise(well ? std::max(1.0, (limit_ + widest_room()) / terms_.callers) : 0.1);
   } else if (terms_.free_value == FreeValue::kWeight) {
     host_.advertise(well ? 1 - 0.5 * full : 0.02);
   } else {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -292,6 +292,16 @@
   EXPECT_TRUE(host.not_elsewhere);
 }
 
+TEST(Advice, TheAllowanceFollowsThePaceOfASlowServer) {
+  ServiceTerms terms = two_core_terms();
+  terms.free_value = FreeValue::kAllowance;
+  FakeHost host(terms);
+  host.serve(20, 100 * kMs);
+  double quick = host.advertised;
+  host.serve(40, 500 * kMs);
+  EXPECT_LT(host.advertised, 0.7 * quick);
+}
+
 TEST(Modes, ABacklogOfUnreadExchangesIsNoReasonForBadHealth) {
   FakeHost host;
   for (int i = 0; i < 20; ++i) host.read(kReadGroup, [&](Exchange& ex) { ex.arrived = host.now - 1900 * kMs; });
