--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,6 +45,7 @@
 // Memory, as shares of all there is.
 constexpr double kHoldMemory = 0.8;
 constexpr double kRunMemory = 0.92;
+constexpr double kKeyMemory = 0.5;  // up to here, keys of reads that may share an answer are worth theirs
 
 // Room, calls and modes.
 constexpr double kSloUsed = 0.7;        // of the SLO time that an exchange may be expected to take
@@ -52,6 +53,10 @@
 constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
 constexpr double kUsual = 1.4;         // times its usual core time, and a server is slow for itself
 constexpr double kMuchDenied = 0.35;   // of what is read: more than uneven callers explain
+constexpr double kDeniedFine = 0.1;    // of what is read; with more denied, floor and weight keep more back
+constexpr double kPressMore = 0.05;
+constexpr double kPressLess = 0.02;
+constexpr double kPressMost = 0.95;
 constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
 constexpr double kWorkOfSlo = 8;       // first guess: SLO time over core time
 constexpr double kCallsQuick = 0.8;    // of our share of the dependency, while calls are quick
@@ -59,7 +64,8 @@
 constexpr double kSlowCalls = 3;       // times the best recent time: slow for all who call
 constexpr double kForget = 0.02;       // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost = 0.8;     // of our share, as a mean over its window
-constexpr double kSilence = 8;         // stalled when e^-(kSilence + runs) is how likely the quiet is
+constexpr double kSilence = 16;        // stalled when no run moves for this many core times over the runs, and
+constexpr double kSilenceLeast = 2;    // for this many more: what still runs is the longer part of it
 constexpr double kSilentSlo = 0.4;     // and the quiet lasts this part of the shortest SLO time
 constexpr Nanos kRest = 3 * kSecond;   // sick at least this long once runs fail, and between trials
 constexpr double kFailShare = 0.3;     // of recent runs failed: failing
@@ -224,6 +230,7 @@
   // Measures.
   std::size_t row_of(const Exchange& ex) const { return static_cast<std::size_t>(ex.group - terms_.groups.data()); }
   int next_position() const { return static_cast<int>(held_.size()) + 1; }
+  Nanos key_lifetime(const Exchange& ex) const;
   Nanos lead() const { return kBeat + 2 * terms_.tick; }
   double warm_share() const;
   double ceiling() const;
@@ -320,6 +327,7 @@
   double call_credit_ = 1;
   Nanos credited_ = 0;
   Nanos advertised_ = 0;
+  double pressure_ = 0;  // what callers are asked to keep back
 };
 
 // The life of an exchange. What is not listed changes nothing.
@@ -483,14 +491,19 @@
 
 // ---- Effects
 
+// A deduplicated exchange needs its key; a read that may share its answer has one while memory is to spare.
+Nanos Controller::Core::key_lifetime(const Exchange& ex) const {
+  if (ex.group->effect == Effect::kDeduplicated) return ex.group->repeat_window;
+  bool shares = ex.group->effect == Effect::kRepeatable && ex.has_subject && !ex.writes;
+  return shares && memory() < kKeyMemory * terms_.memory_kb ? terms_.fresh_for : 0;
+}
+
 void Controller::Core::hold(Exchange& ex) {
   ex.position = next_position();
   set_memory(ex, ex.held_kb);
   held_.push_back(&ex);
   // Kept while held, so that a repeat names it instead of looking like new work.
-  Nanos lifetime = 0;
-  if (ex.group->effect == Effect::kDeduplicated) lifetime = ex.group->repeat_window;
-  if (ex.group->effect == Effect::kRepeatable && ex.has_subject && !ex.writes) lifetime = terms_.fresh_for;
+  Nanos lifetime = key_lifetime(ex);
   if (lifetime <= 0) return;
   ex.kept = true;
   ex.key_until = now_ + lifetime;
@@ -603,7 +616,8 @@
 // Held and running exchanges and kept keys share one memory, and past it the server dies. A key that has no
 // room would let an effect happen twice, so what needs one is denied before it runs.
 bool Controller::Core::no_memory(const Exchange& ex) const {
-  return memory() + ex.held_kb + terms_.key_kb > kHoldMemory * terms_.memory_kb;
+  double key = key_lifetime(ex) > 0 ? terms_.key_kb : 0;
+  return memory() + ex.held_kb + key > kHoldMemory * terms_.memory_kb;
 }
 
 bool Controller::Core::beyond_room(const Exchange& ex) const {
@@ -638,14 +652,14 @@
   progressed_ = false;
 }
 
-// Guards against work that hangs while reading goes on. Ends of runs that are spread by chance leave a quiet of
-// this length about once in e^(kSilence + runs). A sudden slowdown of several times looks the same at first; it
-// costs a short trial.
+// Guards against work that hangs while reading goes on, and against runs that fail fast. The fewer runs, the longer
+// a quiet that chance explains, more so where some work is far longer than most. A sudden slowdown of several times
+// looks the same at first; it costs a short trial.
 bool Controller::Core::stands_still() const {
   if (runs_fail()) return true;
   if (on_core_ == 0) return false;
   double quiet = seconds(now_ - last_progress_);
-  return quiet > core_time() * (1 + kSilence / on_core_) && quiet > kSilentSlo * seconds(shortest_slo());
+  return quiet > core_time() * (kSilenceLeast + kSilence / on_core_) && quiet > kSilentSlo * seconds(shortest_slo());
 }
 
 // What is held has not run: it is told at once, so that it can be tried elsewhere.
@@ -880,13 +894,14 @@
   if (terms_.free_value == FreeValue::kNone || now_ - advertised_ < 250 * kMs) return;
   advertised_ = now_;
   bool well = mode_ == Mode::kServing;
-  double full = std::min(1.0, static_cast<double>(held_.size()) / std::max(1.0, 1.0 * window_));
+  bool much = denied_.read(now_) > kDeniedFine * read_.read(now_);
+  pressure_ = std::clamp(pressure_ + (much ? kPressMore : -kPressLess), 0.0, kPressMost);
   if (terms_.free_value == FreeValue::kAllowance) {
     host_.advertise(well ? std::max(1.0, (limit_ + widest_room()) / terms_.callers) : 0.1);
   } else if (terms_.free_value == FreeValue::kWeight) {
-    host_.advertise(well ? 1 - 0.5 * full : 0.02);
+    host_.advertise(1 - (well ? pressure_ : kPressMost));
   } else {
-    host_.advertise(well ? 0 : 1);
+    host_.advertise(well ? pressure_ : kPressMost);
   }
 }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -302,6 +302,28 @@
   EXPECT_LT(host.advertised, 0.7 * quick);
 }
 
+TEST(Advice, AFloorRisesWithDenialsAndFallsWithoutThem) {
+  ServiceTerms terms = two_core_terms();
+  terms.free_value = FreeValue::kFloor;
+  FakeHost host(terms);
+  host.read_many(100);
+  host.pass(2 * kSecond);
+  EXPECT_GT(host.advertised, 0.2);
+  for (Exchange& ex : host.exchanges) host.settle(ex);
+  host.serve(400);
+  EXPECT_EQ(host.advertised, 0);
+}
+
+TEST(Keys, ReadsThatShareAnswersKeepKeysOnlyWhileMemoryIsToSpare) {
+  ServiceTerms terms = two_core_terms();
+  terms.fresh_for = 2 * kSecond;
+  terms.key_kb = 30'000;
+  FakeHost host(terms);
+  for (int i = 0; i < 4; ++i) host.read(kReadGroup, [](Exchange& ex) { ex.has_subject = true; });
+  EXPECT_EQ(host.count("keep"), 2);
+  EXPECT_EQ(host.count("deny"), 0);
+}
+
 TEST(Modes, ABacklogOfUnreadExchangesIsNoReasonForBadHealth) {
   FakeHost host;
   for (int i = 0; i < 20; ++i) host.read(kReadGroup, [&](Exchange& ex) { ex.arrived = host.now - 1900 * kMs; });
