Advice spread by chance; an unknown event is named as such; nothing in the interface that no one uses

Those sent away together come back together: the part of the wait they are asked to stay away for is now drawn between 0.3 and 0.7. Idle connections were looked at and left: servers had 2 to 18 open of the 210 or more that they accept, so that closing some could only cost handshakes.

--- a/include/myrtlecroft/controller.h
+++ b/include/myrtlecroft/controller.h
@@ -15,8 +15,6 @@
 struct Gauges {
   std::optional<double> core_use;
   std::optional<double> on_cores;
-  std::optional<double> memory_share;
-  std::optional<double> connections;
 };
 
 // What a Controller may do. Calls take effect in the order made, at the time of the input.
@@ -34,10 +32,10 @@
   virtual void attach(Exchange& ex) = 0;
   virtual void report_health(bool good) = 0;
   virtual void advertise(double value) = 0;
-  virtual void close_idle_after(Nanos idle) = 0;
   virtual void ring_in(Nanos delay, std::uint64_t token) = 0;
   virtual void log(const std::string& line) = 0;
-  // The Controller holds no pointer to it any more. The Host frees it after the present batch at the earliest.
+  // The Controller holds no pointer to it any more. The Host frees it after the present batch at the
+  // earliest.
   virtual void release(Exchange& ex) = 0;
 };
 
--- a/include/myrtlecroft/exchange.h
+++ b/include/myrtlecroft/exchange.h
@@ -6,8 +6,8 @@
 namespace myrtlecroft {
 
 enum class Phase {
-  kRead,       // read, nothing decided yet
-  kHeld,       // in the hold, not started
+  kRead,  // read, nothing decided yet
+  kHeld,  // in the hold, not started
   kRunning,
   kAtCall,     // waits for leave to call below
   kCalling,    // a call is out
@@ -26,8 +26,8 @@
   bool writes = false;
   std::uint32_t caller = 0;
   Nanos arrived = 0;
-  Nanos gives_up_at = 0;      // 0 = not told
-  Nanos work_hint = 0;        // 0 = not told
+  Nanos gives_up_at = 0;  // 0 = not told
+  Nanos work_hint = 0;    // 0 = not told
   double held_kb = 0;
 
   // Kept by the Controller.
@@ -40,11 +40,11 @@
   bool call_lost = false;
   int position = 0;
   int calls = 0;
-  Nanos due = 0;              // a final answer is owed by then
-  Nanos wanted_by = 0;        // an answer after this earns little
+  Nanos due = 0;        // a final answer is owed by then
+  Nanos wanted_by = 0;  // an answer after this earns little
   Nanos admitted = 0;
   Nanos started = 0;
-  Nanos since = 0;            // start of its present stretch on a core or at a call
+  Nanos since = 0;  // start of its present stretch on a core or at a call
   Nanos core_time = 0;
   Nanos key_until = 0;
   double memory_kb = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,8 +1,8 @@
 // myrtlecroft's decisions, all of them: what one server takes, starts, turns away, calls and reports.
 //
-// How to call it: make one Controller for each life of a server, with the ServiceTerms it was given, a Host that
-// carries out effects and a seed; call start() once, then one input for each event, in order, with the clock.
-// Inputs never nest, and every effect is made before the input returns. The interface is in
+// How to call it: make one Controller for each life of a server, with the ServiceTerms it was given, a Host
+// that carries out effects and a seed; call start() once, then one input for each event, in order, with the
+// clock. Inputs never nest, and every effect is made before the input returns. The interface is in
 // include/myrtlecroft/: terms.h (what is read at start), exchange.h (one exchange) and controller.h.
 //
 // The design decides the ordinary path: a window over queue positions with both refusal checks, +1 each tenth
@@ -32,15 +32,15 @@
 constexpr Nanos kSecond = 1'000 * kMs;
 
 // The design's figures.
-constexpr int kStep = 10;          // successes for each +1, margin of the cut, margin of the front check
-constexpr int kStartPerCore = 4;   // start window
+constexpr int kStep = 10;         // successes for each +1, margin of the cut, margin of the front check
+constexpr int kStartPerCore = 4;  // start window
 
 // The running limit.
-constexpr double kGrowth = 0.25;   // a beat, while cores idle and work is held
-constexpr double kBusy = 0.95;     // of the cores' time in use
-constexpr double kRoomy = 1.2;     // on the cores, for each core: up to here use tells whether they idle
-constexpr double kCrowded = 1.5;   // on the cores, for each core: from here the limit falls back
-constexpr double kCeiling = 0.7;   // of the crowd that the server survives
+constexpr double kGrowth = 0.25;  // a beat, while cores idle and work is held
+constexpr double kBusy = 0.95;    // of the cores' time in use
+constexpr double kRoomy = 1.2;    // on the cores, for each core: up to here use tells whether they idle
+constexpr double kCrowded = 1.5;  // on the cores, for each core: from here the limit falls back
+constexpr double kCeiling = 0.7;  // of the crowd that the server survives
 
 // Memory, as shares of all there is.
 constexpr double kHoldMemory = 0.8;
@@ -48,30 +48,31 @@
 constexpr double kKeyMemory = 0.5;  // up to here, keys of reads that may share an answer are worth theirs
 
 // Room, calls and modes.
-constexpr double kSloUsed = 0.7;        // of the SLO time that an exchange may be expected to take
-constexpr double kLateIsFine = 0.5;    // share of the benefit kept past the SLO time from which that does not matter
-constexpr double kUnreadLong = 0.2;    // of the SLO time, spent before it was read: others queue unread
-constexpr double kUsual = 1.4;         // times its usual core time, and a server is slow for itself
-constexpr double kMuchDenied = 0.35;   // of what is read: more than uneven callers explain
-constexpr double kDeniedFine = 0.1;    // of what is read; with more denied, floor and weight keep more back
+constexpr double kSloUsed = 0.7;  // of the SLO time that an exchange may be expected to take
+constexpr double kLateIsFine =
+    0.5;  // share of the benefit kept past the SLO time from which that does not matter
+constexpr double kUnreadLong = 0.2;   // of the SLO time, spent before it was read: others queue unread
+constexpr double kUsual = 1.4;        // times its usual core time, and a server is slow for itself
+constexpr double kMuchDenied = 0.35;  // of what is read: more than uneven callers explain
+constexpr double kDeniedFine = 0.1;   // of what is read; with more denied, floor and weight keep more back
 constexpr double kPressMore = 0.05;
 constexpr double kPressLess = 0.02;
 constexpr double kPressMost = 0.95;
-constexpr double kLeastRoom = 0.4;     // of the room, for what earns next to nothing
-constexpr double kWorkOfSlo = 8;       // first guess: SLO time over core time
-constexpr double kCallsQuick = 0.8;    // of our share of the dependency, while calls are quick
-constexpr double kCallsSlow = 0.3;     // and at least, when they are slow: it slows down well before all is used
-constexpr double kSlowCalls = 3;       // times the best recent time: slow for all who call
-constexpr double kForget = 0.02;       // a second: how quickly the best call time is forgotten
-constexpr double kCallsMost = 0.8;     // of our share, as a mean over its window
-constexpr double kSilence = 16;        // stalled when no run moves for this many core times over the runs, and
-constexpr double kSilenceLeast = 2;    // for this many more: what still runs is the longer part of it
-constexpr double kSilentSlo = 0.4;     // and the quiet lasts this part of the shortest SLO time
-constexpr Nanos kRest = 3 * kSecond;   // sick at least this long once runs fail, and between trials
-constexpr double kFailShare = 0.3;     // of recent runs failed: failing
+constexpr double kLeastRoom = 0.4;   // of the room, for what earns next to nothing
+constexpr double kWorkOfSlo = 8;     // first guess: SLO time over core time
+constexpr double kCallsQuick = 0.8;  // of our share of the dependency, while calls are quick
+constexpr double kCallsSlow = 0.3;  // and at least, when they are slow: it slows down well before all is used
+constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
+constexpr double kForget = 0.02;    // a second: how quickly the best call time is forgotten
+constexpr double kCallsMost = 0.8;  // of our share, as a mean over its window
+constexpr double kSilence = 16;     // stalled when no run moves for this many core times over the runs, and
+constexpr double kSilenceLeast = 2;   // for this many more: what still runs is the longer part of it
+constexpr double kSilentSlo = 0.4;    // and the quiet lasts this part of the shortest SLO time
+constexpr Nanos kRest = 3 * kSecond;  // sick at least this long once runs fail, and between trials
+constexpr double kFailShare = 0.3;    // of recent runs failed: failing
 constexpr double kFailCount = 6;
-constexpr int kTrialRuns = 2;          // at once
-constexpr int kProven = 6;            // good trial runs in a row that end the trial
+constexpr int kTrialRuns = 2;  // at once
+constexpr int kProven = 6;     // good trial runs in a row that end the trial
 
 constexpr Nanos kBeat = 25 * kMs;
 constexpr Nanos kRecent = 4 * kSecond;
@@ -144,7 +145,19 @@
 
  private:
   enum class Input {
-    kAdmit, kJoin, kDeny, kStart, kNeedsCall, kIssue, kSkip, kCallOk, kCallNone, kCallLost, kDone, kGiveUp, kGone
+    kAdmit,
+    kJoin,
+    kDeny,
+    kStart,
+    kNeedsCall,
+    kIssue,
+    kSkip,
+    kCallOk,
+    kCallNone,
+    kCallLost,
+    kDone,
+    kGiveUp,
+    kGone
   };
   struct Step {
     Phase phase;
@@ -208,9 +221,7 @@
   // When modes change, and what that brings.
   bool stands_still() const;
   bool rested() const { return now_ - bad_since_ >= kRest; }
-  bool may_try() const {
-    return rested() ? on_core_ == 0 || progressed_ : progressed_ && !runs_fail();
-  }
+  bool may_try() const { return rested() ? on_core_ == 0 || progressed_ : progressed_ && !runs_fail(); }
   Nanos shortest_slo() const {
     Nanos least = terms_.groups.front().slo_time;
     for (const EndpointGroup& group : terms_.groups) least = std::min(least, group.slo_time);
@@ -228,7 +239,9 @@
   void progress() { last_progress_ = now_, progressed_ = true; }
 
   // Measures.
-  std::size_t row_of(const Exchange& ex) const { return static_cast<std::size_t>(ex.group - terms_.groups.data()); }
+  std::size_t row_of(const Exchange& ex) const {
+    return static_cast<std::size_t>(ex.group - terms_.groups.data());
+  }
   int next_position() const { return static_cast<int>(held_.size()) + 1; }
   Nanos key_lifetime(const Exchange& ex) const;
   Nanos lead() const { return kBeat + 2 * terms_.tick; }
@@ -256,9 +269,9 @@
   bool may_call();
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
-  // As quick as it usually is and still denying much, this server is one of many that are short: a denial is then
-  // best passed to the client at once, as every further try costs another server its reading. Harm: where callers
-  // crowd that much on some servers while others idle.
+  // As quick as it usually is and still denying much, this server is one of many that are short: a denial is
+  // then best passed to the client at once, as every further try costs another server its reading. Harm:
+  // where callers crowd that much on some servers while others idle.
   bool fleet_short() const {
     bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
     return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
@@ -266,7 +279,7 @@
   bool dependency_slow(const Exchange& ex) const {
     return ex.group->makes_calls && terms_.has_dependency && call_time() > kSlowCalls * quick_call_;
   }
-  Nanos stay_away() const;
+  Nanos stay_away();
 
   // Upkeep.
   void late(Exchange& ex);
@@ -320,7 +333,7 @@
   DecayingMean usual_time_{60 * kSecond};  // the same, over long
   DecayingMean call_time_;
   double quick_call_ = 1e9;  // the best recent time of a call
-  DecayingSum call_load_;  // calls held below x seconds
+  DecayingSum call_load_;    // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_;
   DecayingSum read_;
@@ -409,7 +422,8 @@
 
 void Controller::Core::read(Exchange& ex) {
   ex.due = std::max(now_, ex.gives_up_at ? ex.gives_up_at : ex.arrived + ex.group->async_timeout);
-  ex.wanted_by = ex.group->late_benefit < kLateIsFine ? std::min(ex.due, ex.arrived + ex.group->slo_time) : ex.due;
+  ex.wanted_by =
+      ex.group->late_benefit < kLateIsFine ? std::min(ex.due, ex.arrived + ex.group->slo_time) : ex.due;
   read_.add(1, now_);
   ex.phase = Phase::kRead;
   ex.admitted = now_;
@@ -418,8 +432,8 @@
     customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].add(0.5, now_);
   }
   // A repeat of a deduplicated exchange that runs, has run or is held here is never run again. It gets the
-  // other's result; an id no longer known is one that has run. Two tries in one batch name each other, and one
-  // turned away unrun binds nobody.
+  // other's result; an id no longer known is one that has run. Two tries in one batch name each other, and
+  // one turned away unrun binds nobody.
   bool other_unread = ex.prior && ex.prior->phase == Phase::kRead;
   bool other_unrun = ex.prior && ex.prior->phase == Phase::kOver && !ex.prior->ran;
   if (ex.repeats && !other_unread && !other_unrun) {
@@ -625,12 +639,14 @@
   return next_position() > room(ex);
 }
 
-// A late answer earns little, and a core spent on it makes others late too. What waited long before it was read
-// has a backlog of unread ones behind it even when the hold is empty. With nobody behind it is run all the same.
+// A late answer earns little, and a core spent on it makes others late too. What waited long before it was
+// read has a backlog of unread ones behind it even when the hold is empty. With nobody behind it is run all
+// the same.
 bool Controller::Core::out_of_time(const Exchange& ex) const {
   double left = seconds(ex.wanted_by - now_);
   double unread = seconds(ex.admitted - ex.arrived);
-  bool wanted_behind = held_.size() > (ex.position ? 1 : 0) || unread > kUnreadLong * seconds(ex.group->slo_time);
+  bool wanted_behind =
+      held_.size() > (ex.position ? 1 : 0) || unread > kUnreadLong * seconds(ex.group->slo_time);
   return wanted_behind && left < 0.5 * run_time(row_of(ex));
 }
 
@@ -652,14 +668,15 @@
   progressed_ = false;
 }
 
-// Guards against work that hangs while reading goes on, and against runs that fail fast. The fewer runs, the longer
-// a quiet that chance explains, more so where some work is far longer than most. A sudden slowdown of several times
-// looks the same at first; it costs a short trial.
+// Guards against work that hangs while reading goes on, and against runs that fail fast. The fewer runs, the
+// longer a quiet that chance explains, more so where some work is far longer than most. A sudden slowdown of
+// several times looks the same at first; it costs a short trial.
 bool Controller::Core::stands_still() const {
   if (runs_fail()) return true;
   if (on_core_ == 0) return false;
   double quiet = seconds(now_ - last_progress_);
-  return quiet > core_time() * (kSilenceLeast + kSilence / on_core_) && quiet > kSilentSlo * seconds(shortest_slo());
+  return quiet > core_time() * (kSilenceLeast + kSilence / on_core_) &&
+         quiet > kSilentSlo * seconds(shortest_slo());
 }
 
 // What is held has not run: it is told at once, so that it can be tried elsewhere.
@@ -710,8 +727,8 @@
   return terms_.groups[row].benefit / (terms_.benefit_by_work ? 1 : core_time(row));
 }
 
-// What a customer sends beyond its quota earns little, and nobody tells which exchanges those are: as seen here,
-// each one earns on average what the quota's part of the customer's rate does.
+// What a customer sends beyond its quota earns little, and nobody tells which exchanges those are: as seen
+// here, each one earns on average what the quota's part of the customer's rate does.
 double Controller::Core::customer_factor(const Exchange& ex) const {
   if (!ex.customer || ex.customer->quota_per_s <= 0) return 1;
   double rate = customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].read(now_);
@@ -745,11 +762,10 @@
   return std::min(most, 1.0 * window_);
 }
 
-double Controller::Core::call_rate() const {
-  return calls_target() / std::max(0.001, call_time());
-}
+double Controller::Core::call_rate() const { return calls_target() / std::max(0.001, call_time()); }
 
-// How long the calls of one that can't do without them would wait for leave: behind all that are worth as much.
+// How long the calls of one that can't do without them would wait for leave: behind all that are worth as
+// much.
 double Controller::Core::call_wait(const Exchange& ex) const {
   if (!ex.group->makes_calls || !terms_.has_dependency || ex.group->skip_benefit > 0) return 0;
   double ahead = 0;
@@ -764,10 +780,12 @@
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
-Nanos Controller::Core::stay_away() const {
+// Spread by chance, so that those sent away together don't come back together.
+Nanos Controller::Core::stay_away() {
   if (mode_ != Mode::kServing) return terms_.longest_pause;
   double wait = static_cast<double>(held_.size()) / pace();
-  return std::min(terms_.longest_pause, static_cast<Nanos>(0.5 * wait * static_cast<double>(kSecond)));
+  double part = std::uniform_real_distribution<double>(0.3, 0.7)(random_);
+  return std::min(terms_.longest_pause, static_cast<Nanos>(part * wait * static_cast<double>(kSecond)));
 }
 
 // ---- Upkeep
@@ -777,11 +795,12 @@
   window_ = std::min(window_, kStartPerCore * kStartPerCore * min_window_);
 }
 
-// Position is a gauge of the wait in the hold. Where more time went by at calls below than in the hold, the lateness
-// is the dependency's, and a smaller window would only turn away what does not call it.
+// Position is a gauge of the wait in the hold. Where more time went by at calls below than in the hold, the
+// lateness is the dependency's, and a smaller window would only turn away what does not call it.
 void Controller::Core::late(Exchange& ex) {
   successes_ = 0;
-  if (ex.ran && now_ - ex.started - ex.core_time > ex.started - ex.admitted && ex.calls > 0 && !ex.on_core) return;
+  if (ex.ran && now_ - ex.started - ex.core_time > ex.started - ex.admitted && ex.calls > 0 && !ex.on_core)
+    return;
   window_ = std::min(window_, std::max(min_window_, ex.position - kStep));
 }
 
@@ -852,9 +871,9 @@
 }
 
 // Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time,
-// dearest first. A slow dependency thus holds back only what calls it: what may do without goes on once its wait
-// would cost it the SLO time or the places are taken, and what is past its SLO time gives up its place. A lost
-// call of what must not happen twice ends the exchange.
+// dearest first. A slow dependency thus holds back only what calls it: what may do without goes on once its
+// wait would cost it the SLO time or the places are taken, and what is past its SLO time gives up its place.
+// A lost call of what must not happen twice ends the exchange.
 void Controller::Core::pump_calls() {
   double passed = seconds(now_ - credited_);
   call_load_.add(calls_held() * passed, now_);
@@ -884,7 +903,8 @@
 void Controller::Core::follow_gauges(const Gauges& gauges) {
   if (gauges.on_cores) crowd_.add(*gauges.on_cores, now_);
   double crowd = crowd_.mean(terms_.cores, now_);
-  bool idle = gauges.core_use ? *gauges.core_use < kBusy && crowd < kRoomy * terms_.cores : crowd < terms_.cores;
+  bool idle =
+      gauges.core_use ? *gauges.core_use < kBusy && crowd < kRoomy * terms_.cores : crowd < terms_.cores;
   if (!held_.empty() && on_core_ + 1 > limit_ && idle) limit_ += kGrowth;
   if (crowd > kCrowded * terms_.cores) limit_ -= kGrowth;
   limit_ = std::clamp(limit_, static_cast<double>(terms_.cores), std::max(ceiling(), 1.0 * terms_.cores));
@@ -915,7 +935,9 @@
 
 void Controller::read(Exchange& ex, Nanos now) { core_->at(now), core_->read(ex), core_->pump(); }
 
-void Controller::reached_call(Exchange& ex, Nanos now) { core_->at(now), core_->reached_call(ex), core_->pump(); }
+void Controller::reached_call(Exchange& ex, Nanos now) {
+  core_->at(now), core_->reached_call(ex), core_->pump();
+}
 
 void Controller::call_ended(Exchange& ex, Outcome outcome, Nanos took, Nanos now) {
   core_->at(now), core_->call_ended(ex, outcome, took), core_->pump();
@@ -925,12 +947,16 @@
   core_->at(now), core_->settled(ex, outcome), core_->pump();
 }
 
-void Controller::caller_gone(Exchange& ex, Nanos now) { core_->at(now), core_->caller_gone(ex), core_->pump(); }
+void Controller::caller_gone(Exchange& ex, Nanos now) {
+  core_->at(now), core_->caller_gone(ex), core_->pump();
+}
 
 void Controller::rang(std::uint64_t, const Gauges& gauges, Nanos now) {
   core_->at(now), core_->rang(gauges), core_->pump();
 }
 
-void Controller::leave_by(Nanos stop_at, Nanos now) { core_->at(now), core_->leave_by(stop_at), core_->pump(); }
+void Controller::leave_by(Nanos stop_at, Nanos now) {
+  core_->at(now), core_->leave_by(stop_at), core_->pump();
+}
 
 }  // namespace myrtlecroft
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -1,6 +1,8 @@
 #include "wire.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -90,8 +92,8 @@
 }
 
 template <class Value>
-Value word(object fields, std::string_view name, std::initializer_list<std::pair<std::string_view, Value>> words,
-           std::string_view absent) {
+Value word(object fields, std::string_view name,
+           std::initializer_list<std::pair<std::string_view, Value>> words, std::string_view absent) {
   std::string given = text_or(fields, name, absent);
   for (const auto& [known, value] : words) {
     if (known == given) return value;
@@ -134,7 +136,6 @@
   Customer customer;
   customer.name = text(fields, "name");
   customer.quota_per_s = number_or(fields, "quotaPerS", 0);
-  customer.share = number_or(fields, "share", 0);
   return customer;
 }
 
@@ -160,10 +161,9 @@
   terms.calls_window = whole_or(family, "depWindowNs", 0);
   terms.call_lingers = whole_or(family, "staysForNs", 0);
   terms.fresh_for = whole_or(family, "freshNs", 0);
-  terms.longest_idle = whole_or(family, "idleNs", 0);
   terms.stop_mode = word<StopMode>(
-      family, "stopMode", {{"off", StopMode::kNone}, {"discard", StopMode::kDiscard}, {"freeze", StopMode::kFreeze}},
-      "off");
+      family, "stopMode",
+      {{"off", StopMode::kNone}, {"discard", StopMode::kDiscard}, {"freeze", StopMode::kFreeze}}, "off");
   terms.free_value = word<FreeValue>(family, "advert",
                                      {{"off", FreeValue::kNone},
                                       {"floor", FreeValue::kFloor},
@@ -177,7 +177,8 @@
     return mark;
   });
   std::vector<double> skips;
-  read_list(family, "classSkipWorth", skips, [](element entry, std::string_view name) { return number(entry, name); });
+  read_list(family, "classSkipWorth", skips,
+            [](element entry, std::string_view name) { return number(entry, name); });
   for (std::size_t i = 0; i < terms.groups.size(); ++i) {
     terms.groups[i].makes_calls = i < calls.size() && calls[i];
     terms.groups[i].skip_benefit = i < skips.size() ? skips[i] : 0;
@@ -220,8 +221,6 @@
   };
   gauge("core_use", gauges.core_use);
   gauge("on_cores", gauges.on_cores);
-  gauge("heap_share", gauges.memory_share);
-  gauge("links", gauges.connections);
   return gauges;
 }
 
@@ -304,7 +303,6 @@
     line("ReportHealth", std::string(",\"stored\":true,\"want\":") + (good ? "true" : "false"));
   }
   void advertise(double value) override { line("Advertise", ",\"level\":" + std::to_string(value)); }
-  void close_idle_after(Nanos idle) override { line("IdleLimit", ",\"forTimeNs\":" + std::to_string(idle)); }
   void ring_in(Nanos delay, std::uint64_t token) override {
     line("SetTimer", ",\"sleepForNs\":" + std::to_string(delay) + ",\"token\":" + std::to_string(token));
   }
@@ -407,6 +405,11 @@
 // Exchanges of the whole batch exist before the first event is delivered: tries may name later ones.
 void Wire::read_event(object fields) {
   std::string name = text(fields, "m");
+  constexpr std::string_view known[] = {"Provision", "Stop",    "Call",     "AtCall", "CallDone",
+                                        "Settled",   "Dropped", "WindDown", "Ring"};
+  if (std::find(std::begin(known), std::end(known), name) == std::end(known)) {
+    throw WireError("the unknown event '" + name + "'");
+  }
   Event event;
   if (name == "Stop") {
     instance_of(fields);
@@ -445,12 +448,10 @@
   } else if (name == "WindDown") {
     event.kind = Event::Kind::kLeave;
     event.time = whole(fields, "giveUpAtNs");
-  } else if (name == "Ring") {
+  } else {
     event.kind = Event::Kind::kRang;
     event.number = static_cast<std::uint64_t>(whole(fields, "token"));
     event.gauges = read_gauges(fields);
-  } else {
-    throw WireError("the unknown event '" + name + "'");
   }
   events_.push_back(event);
 }
--- a/src/wirehost/wire.h
+++ b/src/wirehost/wire.h
@@ -1,6 +1,9 @@
-// The wire: batches of events in, one reply out for each. Ids end here; behind this door objects point to objects.
+// The wire: batches of events in, one reply out for each. Ids end here; behind this door objects point to
+// objects.
 #pragma once
 
+#include <simdjson.h>
+
 #include <istream>
 #include <map>
 #include <memory>
@@ -9,8 +12,6 @@
 #include <string>
 #include <vector>
 
-#include <simdjson.h>
-
 #include "myrtlecroft/controller.h"
 
 namespace myrtlecroft::wirehost {
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -28,7 +28,7 @@
   skipper.makes_calls = true;
   skipper.skip_benefit = 0.5;
   terms.groups = {read, write, caller, skipper};
-  terms.customers = {{"big", 100, 0.8}, {"small", 1, 0.2}};
+  terms.customers = {{"big", 100}, {"small", 1}};
   terms.cores = 2;
   terms.memory_kb = 100'000;
   terms.run_factor = 4;
@@ -119,7 +119,6 @@
   void attach(Exchange& ex) override { note("attach", &ex); }
   void report_health(bool good) override { healthy = good; }
   void advertise(double value) override { advertised = value; }
-  void close_idle_after(Nanos) override {}
   void ring_in(Nanos, std::uint64_t) override { note("ring", nullptr); }
   void log(const std::string& line) override { lines.push_back(line); }
   void release(Exchange&) override {}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -274,7 +274,9 @@
 TEST(Room, ACustomerFarBeyondItsQuotaIsDeniedFirst) {
   FakeHost host;
   auto of = [&](int customer) {
-    return [&host, customer](Exchange& ex) { ex.customer = &host.terms.customers[static_cast<std::size_t>(customer)]; };
+    return [&host, customer](Exchange& ex) {
+      ex.customer = &host.terms.customers[static_cast<std::size_t>(customer)];
+    };
   };
   host.serve(20, 200 * kMs);
   for (int i = 0; i < 14; ++i) host.read(kReadGroup, of(1));
@@ -326,7 +328,8 @@
 
 TEST(Modes, ABacklogOfUnreadExchangesIsNoReasonForBadHealth) {
   FakeHost host;
-  for (int i = 0; i < 20; ++i) host.read(kReadGroup, [&](Exchange& ex) { ex.arrived = host.now - 1900 * kMs; });
+  for (int i = 0; i < 20; ++i)
+    host.read(kReadGroup, [&](Exchange& ex) { ex.arrived = host.now - 1900 * kMs; });
   host.pass(100 * kMs);
   EXPECT_TRUE(host.healthy) << "a fleet swamped as a whole would fall one server after the other";
 }
