--- a/include/myrtlecroft/exchange.h
+++ b/include/myrtlecroft/exchange.h
@@ -24,7 +24,6 @@
   bool repeats = false;       // it repeats one, known or not
   bool has_subject = false;
   bool writes = false;
-  std::uint32_t caller = 0;
   Nanos arrived = 0;
   Nanos gives_up_at = 0;  // 0 = not told
   Nanos work_hint = 0;    // 0 = not told
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -76,6 +76,12 @@
 
 constexpr Nanos kBeat = 25 * kMs;
 constexpr Nanos kRecent = 4 * kSecond;
+constexpr Nanos kSickRecent = 3 * kSecond;  // over which failed runs count
+constexpr Nanos kSlowRecent =
+    2 * kSecond;  // over which this server is compared with itself, and customers counted
+constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
+constexpr Nanos kAdvertiseEvery = 250 * kMs;
+constexpr double kCallGuess = 0.05;  // seconds
 
 constexpr double kGuess = 2;
 
@@ -128,7 +134,7 @@
     limit_ = terms_.cores;
     call_load_ = DecayingSum(std::max(kSecond, terms_.calls_window));
     rows_.resize(terms_.groups.size());
-    customer_rate_.assign(terms_.customers.size(), DecayingSum(2 * kSecond));
+    customer_rate_.assign(terms_.customers.size(), DecayingSum(kSlowRecent));
   }
 
   // Inputs.
@@ -257,7 +263,7 @@
   double room(const Exchange& ex) const;
   double widest_room() const;
   double call_rate() const;
-  double call_time() const { return call_time_.mean(0.05, now_); }
+  double call_time() const { return call_time_.mean(kCallGuess, now_); }
   double call_wait(const Exchange& ex) const;
   double call_worth(const Exchange& ex) const { return ex.group->benefit * (1 - ex.group->skip_benefit); }
   double calls_held() const { return calling_ + static_cast<double>(lingering_.size()); }
@@ -323,14 +329,14 @@
   Nanos stalled_at_ = 0;
   bool progressed_ = false;
   int trial_good_ = 0;
-  DecayingSum runs_{3 * kSecond};
-  DecayingSum failures_{3 * kSecond};
+  DecayingSum runs_{kSickRecent};
+  DecayingSum failures_{kSickRecent};
 
   std::vector<GroupRow> rows_;
   std::vector<DecayingSum> customer_rate_;
   DecayingMean core_time_;
-  DecayingMean pace_time_{2 * kSecond};    // core time as if nothing but runs shared the cores
-  DecayingMean usual_time_{60 * kSecond};  // the same, over long
+  DecayingMean pace_time_{kSlowRecent};  // core time as if nothing but runs shared the cores
+  DecayingMean usual_time_{kUsualOver};  // the same, over long
   DecayingMean call_time_;
   double quick_call_ = 1e9;  // the best recent time of a call
   DecayingSum call_load_;    // calls held below x seconds
@@ -526,6 +532,7 @@
 }
 
 void Controller::Core::join(Exchange& ex) {
+  ex.ran = true;  // some try of it has, or may yet
   set_memory(ex, ex.held_kb);
   host_.attach(ex);
 }
@@ -689,7 +696,7 @@
 // Health is good again from the first trial on: nobody would send what a trial needs otherwise.
 void Controller::Core::try_again() {
   trial_good_ = 0;
-  failures_ = runs_ = DecayingSum(3 * kSecond);
+  failures_ = runs_ = DecayingSum(kSickRecent);
   last_progress_ = now_;
   host_.report_health(true);
 }
@@ -911,7 +918,7 @@
 }
 
 void Controller::Core::advertise() {
-  if (terms_.free_value == FreeValue::kNone || now_ - advertised_ < 250 * kMs) return;
+  if (terms_.free_value == FreeValue::kNone || now_ - advertised_ < kAdvertiseEvery) return;
   advertised_ = now_;
   bool well = mode_ == Mode::kServing;
   bool much = denied_.read(now_) > kDeniedFine * read_.read(now_);
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -259,7 +259,6 @@
     element subject;
     ex->has_subject = find(fields, "targetKey", subject);
     ex->writes = truth(fields, "update");
-    ex->caller = static_cast<std::uint32_t>(whole_or(fields, "src", 0));
     ex->arrived = -whole_or(fields, "ageNs", 0);  // made a clock time when it is delivered
     ex->gives_up_at = whole_or(fields, "giveUpAtNs", 0);
     ex->work_hint = whole_or(fields, "workNs", 0);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -114,6 +114,15 @@
   EXPECT_EQ(host.last_of(second), "attach");
 }
 
+TEST(Keys, ARepeatOfARepeatThatWasTerminatedIsNotRunEither) {
+  FakeHost host;
+  Exchange& first = host.read(kWriteGroup);
+  Exchange& second = host.repeat_of(first);
+  host.pass(5 * kSecond);
+  EXPECT_EQ(host.last_of(second), "terminate");
+  EXPECT_EQ(host.last_of(host.repeat_of(second)), "attach");
+}
+
 TEST(Keys, OneDeniedUnrunGivesUpItsKey) {
   FakeHost host;
   host.read_many(2);
