--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -435,7 +435,8 @@
   ex.admitted = now_;
   open_.push_back(&ex);
   if (ex.customer) {
-    customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].add(0.5, now_);
+    customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].add(
+        1 / seconds(kSlowRecent), now_);
   }
   // A repeat of a deduplicated exchange that runs, has run or is held here is never run again. It gets the
   // other's result; an id no longer known is one that has run. Two tries in one batch name each other, and
