--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,9 +63,10 @@
 constexpr double kCallsQuick = 0.8;  // of our share of the dependency, while calls are quick
 constexpr double kCallsSlow = 0.3;  // and at least, when they are slow: it slows down well before all is used
 constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
-constexpr double kForget = 0.02;    // a second: how quickly the best call time is forgotten
-constexpr double kCallsMost = 0.8;  // of our share, as a mean over its window
-constexpr double kSilence = 16;     // stalled when no run moves for this many core times over the runs, and
+constexpr double kCallPlaces = 0.5;   // of the crowd's ceiling: the rest is left to what runs
+constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
+constexpr double kCallsMost = 0.8;    // of our share, as a mean over its window
+constexpr double kSilence = 16;       // stalled when no run moves for this many core times over the runs, and
 constexpr double kSilenceLeast = 2;   // for this many more: what still runs is the longer part of it
 constexpr double kSilentSlo = 0.4;    // and the quiet lasts this part of the shortest SLO time
 constexpr Nanos kRest = 3 * kSecond;  // sick at least this long once runs fail, and between trials
@@ -190,7 +191,7 @@
   };
   static const std::array<Step, 27> kSteps;
   static const std::array<Reason, 7> kTurnedAway;
-  static const std::array<Reason, 2> kNotStarted;
+  static const std::array<Reason, 3> kNotStarted;
   static const std::array<ModeStep, 7> kModes;
 
   bool apply(Exchange& ex, Input input);
@@ -223,6 +224,7 @@
   bool beyond_room(const Exchange& ex) const;
   bool likely_late(const Exchange& ex) const { return ex.position > window_ + kStep; }
   bool out_of_time(const Exchange& ex) const;
+  bool no_call_place(const Exchange& ex) const;
 
   // When modes change, and what that brings.
   bool stands_still() const;
@@ -271,7 +273,7 @@
     return terms_.calls_share * std::clamp(kCallsQuick * quick_call_ / call_time(), kCallsSlow, kCallsQuick);
   }
   int in_calls() const { return static_cast<int>(to_call_.size()) + calling_; }
-  int call_places() const { return std::max(1, static_cast<int>(ceiling() - limit_)); }
+  int call_places() const { return std::max(1, static_cast<int>(kCallPlaces * ceiling())); }
   bool may_call();
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
@@ -392,9 +394,10 @@
 }};
 
 // Why what stands at the front is turned away instead of started.
-const std::array<Controller::Core::Reason, 2> Controller::Core::kNotStarted = {{
+const std::array<Controller::Core::Reason, 3> Controller::Core::kNotStarted = {{
     {"likely to time out", &Core::likely_late},
     {"past its SLO time", &Core::out_of_time},
+    {"its call has no place", &Core::no_call_place},
 }};
 
 const std::array<Controller::Core::ModeStep, 7> Controller::Core::kModes = {{
@@ -658,6 +661,12 @@
   return wanted_behind && left < 0.5 * run_time(row_of(ex));
 }
 
+// With all places at calls taken and the dependency slow, one that needs a call would keep those behind it
+// from idle cores. Harm: one denied just before a place comes free.
+bool Controller::Core::no_call_place(const Exchange& ex) const {
+  return held_.size() > 1 && dependency_slow(ex) && in_calls() >= call_places();
+}
+
 // ---- Modes
 
 void Controller::Core::change_modes() {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -194,6 +194,30 @@
   EXPECT_EQ(host.count("call"), 2);
 }
 
+TEST(Calls, OneWithoutAPlaceDoesNotKeepOthersFromIdleCores) {
+  ServiceTerms terms = window_only();
+  terms.calls_share = 1;
+  FakeHost host(terms);
+  auto call_of = [&](Nanos took) {
+    Exchange& ex = host.read(kCallerGroup);
+    host.controller.reached_call(ex, host.now);
+    host.pass(took);
+    host.controller.call_ended(ex, Outcome::kOk, took, host.now);
+    host.settle(ex);
+  };
+  for (int i = 0; i < 10; ++i) call_of(25 * kMs);
+  for (int i = 0; i < 10; ++i) call_of(kSecond);
+  for (int i = 0; i < 5; ++i) host.controller.reached_call(host.read(kCallerGroup), host.now);
+  host.read_many(2);
+  Exchange& running = host.exchanges.back();
+  Exchange& caller = host.read(kCallerGroup, [](Exchange& ex) { ex.arrived -= kMs; });
+  Exchange& read = host.read();
+  EXPECT_EQ(host.last_of(read), "");
+  host.settle(running);
+  EXPECT_EQ(host.last_of(caller), "deny");
+  EXPECT_EQ(host.last_of(read), "run");
+}
+
 TEST(Calls, ASlowDependencyIsLeftOutWhereThatKeepsBenefit) {
   FakeHost host;
   Exchange& caller = host.read(kCallerGroup);
