What waits for a slow dependency past its SLO time gives up its place

It did so only once all places were taken, and until then used up calls that others could still make use of.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -908,7 +908,7 @@
       apply(*ex, Input::kSkip);
     } else if (ex->call_lost && ex->group->effect != Effect::kRepeatable) {
       apply(*ex, Input::kGiveUp);
-    } else if (crowded && left < 0) {
+    } else if ((crowded || dependency_slow(*ex)) && left < 0) {
       apply(*ex, Input::kGiveUp);
     } else if (may_call()) {
       call_credit_ -= 1;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -218,6 +218,27 @@
   EXPECT_EQ(host.last_of(read), "run");
 }
 
+TEST(Calls, WhatWaitsForASlowDependencyPastItsSloTimeGivesUpItsPlace) {
+  ServiceTerms terms = two_core_terms();
+  terms.calls_share = 1;
+  FakeHost host(terms);
+  auto call_of = [&](Nanos took) {
+    Exchange& ex = host.read(kCallerGroup);
+    host.controller.reached_call(ex, host.now);
+    host.pass(took);
+    host.controller.call_ended(ex, Outcome::kOk, took, host.now);
+    host.settle(ex);
+  };
+  for (int i = 0; i < 10; ++i) call_of(25 * kMs);
+  for (int i = 0; i < 3; ++i) call_of(kSecond);
+  Exchange& called = host.read(kCallerGroup);
+  Exchange& waiting = host.read(kCallerGroup);
+  host.controller.reached_call(called, host.now);
+  host.controller.reached_call(waiting, host.now);
+  host.pass(2 * kSecond + 100 * kMs);
+  EXPECT_EQ(host.last_of(waiting), "terminate");
+}
+
 TEST(Calls, ASlowDependencyIsLeftOutWhereThatKeepsBenefit) {
   FakeHost host;
   Exchange& caller = host.read(kCallerGroup);
