--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -9,7 +9,8 @@
 // timely answer, a cut to position - 10 when lower, FIFO starts under a running limit (docs/design.md).
 // Mechanisms beside it:
 //   1. room: maxWindow follows the measured pace and the SLO times, less for what earns less (room()).
-//   2. out of time: what at the front can no longer meet its SLO time gives way to those behind it.
+//   2. out of time: what can no longer meet its SLO time, on arrival, at the front or waiting for a slow
+//      dependency, gives way to the others.
 //   3. modes: a server whose work stands still or fails denies, reports it, and comes back by trial runs.
 //   4. call pacing: calls below go out at a rate that follows their recent time; some may be skipped.
 //   5. advice: denials say how long to stay away, and the free value says how much is welcome.
@@ -84,7 +85,7 @@
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
 constexpr double kCallGuess = 0.05;  // seconds
 
-constexpr double kGuess = 2;
+constexpr double kGuess = 2;  // samples that a first guess weighs
 
 // A sum in which what is older counts less, brought up to date when it is read.
 class DecayingSum {
@@ -133,6 +134,8 @@
     min_window_ = std::max(1, terms_.cores);
     window_ = kStartPerCore * min_window_;
     limit_ = terms_.cores;
+    shortest_slo_ = terms_.groups.front().slo_time;
+    for (const EndpointGroup& group : terms_.groups) shortest_slo_ = std::min(shortest_slo_, group.slo_time);
     call_load_ = DecayingSum(std::max(kSecond, terms_.calls_window));
     rows_.resize(terms_.groups.size());
     customer_rate_.assign(terms_.customers.size(), DecayingSum(kSlowRecent));
@@ -194,7 +197,7 @@
   static const std::array<Reason, 3> kNotStarted;
   static const std::array<ModeStep, 7> kModes;
 
-  bool apply(Exchange& ex, Input input);
+  void apply(Exchange& ex, Input input);
 
   // Effects of the steps.
   void hold(Exchange& ex);
@@ -208,12 +211,9 @@
   void call_none(Exchange& ex);
   void call_lost(Exchange& ex);
   void finish(Exchange& ex);
-  void finish_abandoned(Exchange& ex);
   void give_up(Exchange& ex);
   void give_up_held(Exchange& ex);
   void gone(Exchange& ex);
-  void gone_held(Exchange& ex);
-  void nothing(Exchange&) {}
 
   // Reasons to turn an arrival away, and not to start what is at the front.
   bool came_after_grace(const Exchange& ex) const;
@@ -228,20 +228,15 @@
 
   // When modes change, and what that brings.
   bool stands_still() const;
-  bool rested() const { return now_ - bad_since_ >= kRest; }
+  bool rested() const { return now_ - stalled_at_ >= kRest; }
   bool may_try() const { return rested() ? on_core_ == 0 || progressed_ : progressed_ && !runs_fail(); }
-  Nanos shortest_slo() const {
-    Nanos least = terms_.groups.front().slo_time;
-    for (const EndpointGroup& group : terms_.groups) least = std::min(least, group.slo_time);
-    return least;
-  }
   bool runs_fail() const { return runs_.read(now_) >= kFailCount && failed_share() > kFailShare; }
   bool proven() const { return trial_good_ >= kProven; }
   bool told_to_leave() const { return stop_at_ != 0; }
   void turn_sick();
   void try_again();
   void turn_well();
-  void turn_bad() { bad_since_ = now_, host_.report_health(false); }
+  void turn_bad() { host_.report_health(false); }
   void change_modes();
   double failed_share() const { return failures_.read(now_) / std::max(1.0, runs_.read(now_)); }
   void progress() { last_progress_ = now_, progressed_ = true; }
@@ -250,6 +245,9 @@
   std::size_t row_of(const Exchange& ex) const {
     return static_cast<std::size_t>(ex.group - terms_.groups.data());
   }
+  std::size_t customer_of(const Exchange& ex) const {
+    return static_cast<std::size_t>(ex.customer - terms_.customers.data());
+  }
   int next_position() const { return static_cast<int>(held_.size()) + 1; }
   Nanos key_lifetime(const Exchange& ex) const;
   Nanos lead() const { return kBeat + 2 * terms_.tick; }
@@ -264,6 +262,7 @@
   double customer_factor(const Exchange& ex) const;
   double room(const Exchange& ex) const;
   double widest_room() const;
+  double budget(std::size_t row, Nanos time) const { return kSloUsed * seconds(time) - run_time(row); }
   double call_rate() const;
   double call_time() const { return call_time_.mean(kCallGuess, now_); }
   double call_wait(const Exchange& ex) const;
@@ -306,6 +305,7 @@
   const ServiceTerms& terms_;
   Host& host_;
   std::mt19937 random_;
+  Nanos shortest_slo_ = 0;
   Nanos now_ = 0;
   Nanos started_ = 0;
 
@@ -327,7 +327,6 @@
   Nanos notice_ = 0;
   Nanos stop_at_ = 0;
   Nanos last_progress_ = 0;
-  Nanos bad_since_ = 0;
   Nanos stalled_at_ = 0;
   bool progressed_ = false;
   int trial_good_ = 0;
@@ -360,8 +359,8 @@
     {Phase::kHeld, Input::kStart, Phase::kRunning, &Core::run},
     {Phase::kHeld, Input::kDeny, Phase::kOver, &Core::deny},
     {Phase::kHeld, Input::kGiveUp, Phase::kOver, &Core::give_up_held},
-    {Phase::kHeld, Input::kGone, Phase::kOver, &Core::gone_held},
-    {Phase::kAttached, Input::kGone, Phase::kOver, &Core::gone_held},
+    {Phase::kHeld, Input::kGone, Phase::kOver, &Core::leave_hold},
+    {Phase::kAttached, Input::kGone, Phase::kOver, &Core::leave_hold},
     {Phase::kRunning, Input::kNeedsCall, Phase::kAtCall, &Core::wait_to_call},
     {Phase::kRunning, Input::kDone, Phase::kOver, &Core::finish},
     {Phase::kRunning, Input::kGiveUp, Phase::kAbandoned, &Core::give_up},
@@ -377,9 +376,9 @@
     {Phase::kCalling, Input::kGiveUp, Phase::kAbandoned, &Core::give_up},
     {Phase::kCalling, Input::kGone, Phase::kAbandoned, &Core::gone},
     {Phase::kCalling, Input::kDone, Phase::kOver, &Core::finish},
-    {Phase::kAttached, Input::kDone, Phase::kOver, &Core::finish_abandoned},
+    {Phase::kAttached, Input::kDone, Phase::kOver, &Core::finish},
     {Phase::kAttached, Input::kGiveUp, Phase::kOver, &Core::give_up_held},
-    {Phase::kAbandoned, Input::kDone, Phase::kOver, &Core::finish_abandoned},
+    {Phase::kAbandoned, Input::kDone, Phase::kOver, &Core::finish},
 }};
 
 // Why an arrival is turned away, first match first.
@@ -410,15 +409,14 @@
     {Mode::kTrial, &Core::proven, Mode::kServing, &Core::turn_well, "trial runs went well"},
 }};
 
-bool Controller::Core::apply(Exchange& ex, Input input) {
+void Controller::Core::apply(Exchange& ex, Input input) {
   for (const Step& step : kSteps) {
     if (step.phase != ex.phase || step.input != input) continue;
     ex.phase = step.next;
     (this->*step.effect)(ex);
     if (ex.phase == Phase::kOver) close(ex);
-    return true;
+    return;
   }
-  return false;
 }
 
 // ---- Inputs
@@ -437,25 +435,17 @@
   ex.phase = Phase::kRead;
   ex.admitted = now_;
   open_.push_back(&ex);
-  if (ex.customer) {
-    customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].add(
-        1 / seconds(kSlowRecent), now_);
-  }
+  if (ex.customer) customer_rate_[customer_of(ex)].add(1 / seconds(kSlowRecent), now_);
   // A repeat of a deduplicated exchange that runs, has run or is held here is never run again. It gets the
   // other's result; an id no longer known is one that has run. Two tries in one batch name each other, and
   // one turned away unrun binds nobody.
   bool other_unread = ex.prior && ex.prior->phase == Phase::kRead;
   bool other_unrun = ex.prior && ex.prior->phase == Phase::kOver && !ex.prior->ran;
-  if (ex.repeats && !other_unread && !other_unrun) {
-    bool after_grace = came_after_grace(ex);
-    if (ex.group->effect != Effect::kRepeatable) {
-      apply(ex, after_grace || no_time_left(ex) ? Input::kGiveUp : Input::kJoin);
-      return;
-    }
-    if (!after_grace && !no_time_left(ex)) {
-      apply(ex, Input::kJoin);
-      return;
-    }
+  bool in_time = !came_after_grace(ex) && !no_time_left(ex);
+  bool must_join = ex.group->effect != Effect::kRepeatable;
+  if (ex.repeats && !other_unread && !other_unrun && (in_time || must_join)) {
+    apply(ex, in_time ? Input::kJoin : Input::kGiveUp);
+    return;
   }
   for (const Reason& reason : kTurnedAway) {
     if (!(this->*reason.applies)(ex)) continue;
@@ -468,15 +458,14 @@
 void Controller::Core::settled(Exchange& ex, Outcome outcome) {
   if (ex.phase == Phase::kOver) return;
   if (ex.phase != Phase::kAttached && outcome != Outcome::kIgnored) {
-    bool answered = ex.answered || ex.phase == Phase::kAbandoned;
     bool good = outcome == Outcome::kOk;
     if (good || outcome == Outcome::kFailed) {
       progress();
       runs_.add(1, now_);
       if (!good) failures_.add(1, now_);
-      if (good && !answered && now_ <= ex.due) {
+      if (good && !ex.answered && now_ <= ex.due) {
         timely();
-      } else if (good && !answered) {
+      } else if (good && !ex.answered) {
         late(ex);
       }
       trial_good_ = good ? trial_good_ + 1 : 0;
@@ -498,8 +487,8 @@
 }
 
 void Controller::Core::call_ended(Exchange& ex, Outcome outcome, Nanos took) {
-  if (outcome != Outcome::kFull && outcome != Outcome::kUnreachable) call_time_.add(seconds(took), now_);
   bool never_ran = outcome == Outcome::kFull || outcome == Outcome::kUnreachable;
+  if (!never_ran) call_time_.add(seconds(took), now_);
   progress();
   apply(ex, outcome == Outcome::kOk ? Input::kCallOk : never_ran ? Input::kCallNone : Input::kCallLost);
 }
@@ -597,8 +586,6 @@
   leave_call(ex);
 }
 
-void Controller::Core::finish_abandoned(Exchange& ex) { off_core(ex); }
-
 // The final answer to what has run or may have: an error that promises nothing. Work that can be stopped is,
 // unless a repeat may still want its result.
 void Controller::Core::give_up(Exchange& ex) {
@@ -625,8 +612,6 @@
   give_up(ex);
 }
 
-void Controller::Core::gone_held(Exchange& ex) { leave_hold(ex); }
-
 // ---- Turning away
 
 bool Controller::Core::came_after_grace(const Exchange& ex) const {
@@ -693,7 +678,7 @@
   if (on_core_ == 0) return false;
   double quiet = seconds(now_ - last_progress_);
   return quiet > core_time() * (kSilenceLeast + kSilence / on_core_) &&
-         quiet > kSilentSlo * seconds(shortest_slo());
+         quiet > kSilentSlo * seconds(shortest_slo_);
 }
 
 // What is held has not run: it is told at once, so that it can be tried elsewhere.
@@ -748,7 +733,7 @@
 // here, each one earns on average what the quota's part of the customer's rate does.
 double Controller::Core::customer_factor(const Exchange& ex) const {
   if (!ex.customer || ex.customer->quota_per_s <= 0) return 1;
-  double rate = customer_rate_[static_cast<std::size_t>(ex.customer - terms_.customers.data())].read(now_);
+  double rate = customer_rate_[customer_of(ex)].read(now_);
   double within = std::min(1.0, ex.customer->quota_per_s / terms_.servers / std::max(rate, 1e-9));
   return within + (1 - within) * terms_.over_share_benefit;
 }
@@ -757,16 +742,19 @@
 // earns less stays below the room of all that earns more, and below a share of it.
 double Controller::Core::room(const Exchange& ex) const {
   std::size_t own = row_of(ex);
+  double own_worth = worth(own);
+  double at_pace = pace();
   double best = 0;
   double least = window_;
   for (std::size_t row = 0; row < rows_.size(); ++row) {
-    best = std::max(best, worth(row));
-    if (worth(row) < worth(own)) continue;
-    double budget = kSloUsed * seconds(terms_.groups[row].slo_time) - run_time(row);
-    if (row == own) budget = kSloUsed * seconds(ex.wanted_by - now_) - run_time(row) - call_wait(ex);
-    least = std::min(least, pace() * budget);
+    double its_worth = worth(row);
+    best = std::max(best, its_worth);
+    if (its_worth < own_worth) continue;
+    double wait = row == own ? budget(row, ex.wanted_by - now_) - call_wait(ex)
+                             : budget(row, terms_.groups[row].slo_time);
+    least = std::min(least, at_pace * wait);
   }
-  double value = worth(own) / best * customer_factor(ex);
+  double value = own_worth / best * customer_factor(ex);
   return least * (kLeastRoom + (1 - kLeastRoom) * value);
 }
 
@@ -774,7 +762,7 @@
 double Controller::Core::widest_room() const {
   double most = 1;
   for (std::size_t row = 0; row < rows_.size(); ++row) {
-    most = std::max(most, pace() * (kSloUsed * seconds(terms_.groups[row].slo_time) - run_time(row)));
+    most = std::max(most, pace() * budget(row, terms_.groups[row].slo_time));
   }
   return std::min(most, 1.0 * window_);
 }
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -337,7 +337,7 @@
 };
 
 struct Wire::Event {
-  enum class Kind { kStart, kRead, kReachedCall, kCallEnded, kSettled, kGone, kLeave, kRang };
+  enum class Kind { kStart, kStop, kRead, kReachedCall, kCallEnded, kSettled, kGone, kLeave, kRang };
   Kind kind = Kind::kStart;
   Instance* instance = nullptr;
   WireExchange* ex = nullptr;
@@ -404,18 +404,17 @@
 // Exchanges of the whole batch exist before the first event is delivered: tries may name later ones.
 void Wire::read_event(object fields) {
   std::string name = text(fields, "m");
-  constexpr std::string_view known[] = {"Provision", "Stop",    "Call",     "AtCall", "CallDone",
-                                        "Settled",   "Dropped", "WindDown", "Ring"};
-  if (std::find(std::begin(known), std::end(known), name) == std::end(known)) {
-    throw WireError("the unknown event '" + name + "'");
-  }
+  using Kind = Event::Kind;
+  constexpr std::pair<std::string_view, Kind> known[] = {
+      {"Provision", Kind::kStart},    {"Stop", Kind::kStop},          {"Call", Kind::kRead},
+      {"AtCall", Kind::kReachedCall}, {"CallDone", Kind::kCallEnded}, {"Settled", Kind::kSettled},
+      {"Dropped", Kind::kGone},       {"WindDown", Kind::kLeave},     {"Ring", Kind::kRang}};
+  auto entry =
+      std::find_if(std::begin(known), std::end(known), [&](auto& each) { return each.first == name; });
+  if (entry == std::end(known)) throw WireError("the unknown event '" + name + "'");
   Event event;
-  if (name == "Stop") {
-    instance_of(fields);
-    instances_.erase(whole(fields, "server"));
-    return;
-  }
-  if (name == "Provision") {
+  event.kind = entry->second;
+  if (event.kind == Kind::kStart) {
     std::int64_t number = whole(fields, "server");
     auto seed = static_cast<std::uint64_t>(whole(fields, "seed"));
     instances_[number] = std::make_unique<Instance>(number, read_terms(part(fields, "env")), seed, reply_);
@@ -424,33 +423,27 @@
     return;
   }
   event.instance = &instance_of(fields);
-  auto of_exchange = [&](Event::Kind kind) {
-    event.kind = kind;
-    event.number = static_cast<std::uint64_t>(whole(fields, "requestId"));
-  };
-  if (name == "Call") {
-    event.kind = Event::Kind::kRead;
-    event.ex = &event.instance->add(fields);
-    event.ex->arrived += now_;
-  } else if (name == "AtCall") {
-    of_exchange(Event::Kind::kReachedCall);
-  } else if (name == "CallDone") {
-    of_exchange(Event::Kind::kCallEnded);
-    event.outcome = read_outcome(fields);
-    event.time = whole(fields, "rttNs");
-  } else if (name == "Settled") {
-    of_exchange(Event::Kind::kSettled);
-    event.outcome = read_outcome(fields);
-    whole(fields, "rttNs");
-  } else if (name == "Dropped") {
-    of_exchange(Event::Kind::kGone);
-  } else if (name == "WindDown") {
-    event.kind = Event::Kind::kLeave;
-    event.time = whole(fields, "giveUpAtNs");
-  } else {
-    event.kind = Event::Kind::kRang;
-    event.number = static_cast<std::uint64_t>(whole(fields, "token"));
-    event.gauges = read_gauges(fields);
+  switch (event.kind) {
+    case Kind::kStop:
+      instances_.erase(whole(fields, "server"));
+      return;
+    case Kind::kRead:
+      event.ex = &event.instance->add(fields);
+      event.ex->arrived += now_;
+      break;
+    case Kind::kLeave:
+      event.time = whole(fields, "giveUpAtNs");
+      break;
+    case Kind::kRang:
+      event.number = static_cast<std::uint64_t>(whole(fields, "token"));
+      event.gauges = read_gauges(fields);
+      break;
+    default:  // what befell one exchange
+      event.number = static_cast<std::uint64_t>(whole(fields, "requestId"));
+      if (event.kind == Kind::kCallEnded || event.kind == Kind::kSettled) {
+        event.outcome = read_outcome(fields);
+        event.time = whole(fields, "rttNs");
+      }
   }
   events_.push_back(event);
 }
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -91,6 +91,16 @@
       settle(ex);
     }
   }
+  // The same for exchanges that make one call each and do nothing else.
+  void serve_calls(int count, Nanos took) {
+    for (int i = 0; i < count; ++i) {
+      Exchange& ex = read(kCallerGroup);
+      controller.reached_call(ex, now);
+      pass(took);
+      controller.call_ended(ex, Outcome::kOk, took, now);
+      settle(ex);
+    }
+  }
   int count(const std::string& what) const {
     int n = 0;
     for (const auto& did : done) n += did.first == what;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -198,15 +198,8 @@
   ServiceTerms terms = window_only();
   terms.calls_share = 1;
   FakeHost host(terms);
-  auto call_of = [&](Nanos took) {
-    Exchange& ex = host.read(kCallerGroup);
-    host.controller.reached_call(ex, host.now);
-    host.pass(took);
-    host.controller.call_ended(ex, Outcome::kOk, took, host.now);
-    host.settle(ex);
-  };
-  for (int i = 0; i < 10; ++i) call_of(25 * kMs);
-  for (int i = 0; i < 10; ++i) call_of(kSecond);
+  host.serve_calls(10, 25 * kMs);
+  host.serve_calls(10, kSecond);
   for (int i = 0; i < 5; ++i) host.controller.reached_call(host.read(kCallerGroup), host.now);
   host.read_many(2);
   Exchange& running = host.exchanges.back();
@@ -222,15 +215,8 @@
   ServiceTerms terms = two_core_terms();
   terms.calls_share = 1;
   FakeHost host(terms);
-  auto call_of = [&](Nanos took) {
-    Exchange& ex = host.read(kCallerGroup);
-    host.controller.reached_call(ex, host.now);
-    host.pass(took);
-    host.controller.call_ended(ex, Outcome::kOk, took, host.now);
-    host.settle(ex);
-  };
-  for (int i = 0; i < 10; ++i) call_of(25 * kMs);
-  for (int i = 0; i < 3; ++i) call_of(kSecond);
+  host.serve_calls(10, 25 * kMs);
+  host.serve_calls(3, kSecond);
   Exchange& called = host.read(kCallerGroup);
   Exchange& waiting = host.read(kCallerGroup);
   host.controller.reached_call(called, host.now);
