Idle connections are closed the sooner the more of them are open

Cause: at hundreds of callers the table of 70 to 100 connections filled with ones idle for up to 30 s, and new callers got none while cores idled. Gauge of open connections, less what is in hand, over 8 a core shortens the idle limit.

--- a/include/myrtlecroft/controller.h
+++ b/include/myrtlecroft/controller.h
@@ -15,6 +15,7 @@
 struct Gauges {
   std::optional<double> core_use;
   std::optional<double> on_cores;
+  std::optional<double> connections;  // open ones
 };
 
 // What a Controller may do. Calls take effect in the order made, at the time of the input.
@@ -32,6 +33,7 @@
   virtual void attach(Exchange& ex) = 0;
   virtual void report_health(bool good) = 0;
   virtual void advertise(double value) = 0;
+  virtual void close_idle(Nanos after) = 0;  // connections idle for this long
   virtual void ring_in(Nanos delay, std::uint64_t token) = 0;
   virtual void log(const std::string& line) = 0;
   // The Controller holds no pointer to it any more. The Host frees it after the present batch at the
--- a/include/myrtlecroft/terms.h
+++ b/include/myrtlecroft/terms.h
@@ -54,6 +54,7 @@
   Nanos drain_grace = 0;
   Nanos answer_slack = 0;
   Nanos tick = 0;
+  Nanos longest_idle = 0;   // callers close connections that are idle for this long; 0 = not told
   Nanos longest_pause = 0;  // the longest advice to stay away that is passed on; 0 = none is
   StopMode stop_mode = StopMode::kNone;
   FreeValue free_value = FreeValue::kNone;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -14,6 +14,7 @@
 //   3. modes: a server whose work stands still or fails denies, reports it, and comes back by trial runs.
 //   4. call pacing: calls below go out at a rate that follows their recent time; some may be skipped.
 //   5. advice: denials say how long to stay away, and the free value says how much is welcome.
+//   6. connections: idle ones are closed the sooner the more of them are open.
 // The guards that the four rules ask for (due times, keys, memory, crowd, drain) stand with the inputs.
 #include <algorithm>
 #include <array>
@@ -83,6 +84,10 @@
     2 * kSecond;  // over which this server is compared with itself, and customers counted
 constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
+constexpr double kIdlePerCore = 8;  // connections without an exchange in hand, for each core
+constexpr double kIdleSooner = 0.7;
+constexpr double kIdleLater = 1.1;
+constexpr Nanos kIdleLeast = 10 * kMs;
 constexpr double kCallGuess = 0.05;  // seconds
 
 constexpr double kGuess = 2;  // samples that a first guess weighs
@@ -300,6 +305,7 @@
   void answer_due();
   void pump_calls();
   void advertise();
+  void close_idle(const Gauges& gauges);
   void follow_gauges(const Gauges& gauges);
 
   const ServiceTerms& terms_;
@@ -347,6 +353,7 @@
   double call_credit_ = 1;
   Nanos credited_ = 0;
   Nanos advertised_ = 0;
+  Nanos idle_limit_ = 0;
   double pressure_ = 0;  // what callers are asked to keep back
 };
 
@@ -424,6 +431,7 @@
 void Controller::Core::start(Nanos now) {
   now_ = started_ = last_progress_ = credited_ = now;
   host_.report_health(true);
+  idle_limit_ = terms_.longest_idle;
   host_.ring_in(kBeat, 0);
 }
 
@@ -497,7 +505,10 @@
   host_.ring_in(kBeat, 0);
   follow_gauges(gauges);
   answer_due();
+  if (now_ - advertised_ < kAdvertiseEvery) return;
+  advertised_ = now_;
   advertise();
+  close_idle(gauges);
 }
 
 void Controller::Core::leave_by(Nanos stop_at) { notice_ = now_, stop_at_ = stop_at; }
@@ -916,8 +927,7 @@
 }
 
 void Controller::Core::advertise() {
-  if (terms_.free_value == FreeValue::kNone || now_ - advertised_ < kAdvertiseEvery) return;
-  advertised_ = now_;
+  if (terms_.free_value == FreeValue::kNone) return;
   bool well = mode_ == Mode::kServing;
   bool much = denied_.read(now_) > kDeniedFine * read_.read(now_);
   pressure_ = std::clamp(pressure_ + (much ? kPressMore : -kPressLess), 0.0, kPressMost);
@@ -930,6 +940,20 @@
   }
 }
 
+// Guards against a table of connections filled by many callers that each come rarely: a full one turns new
+// callers away unseen, while cores idle, and an open connection costs core time. Also against callers that
+// died. Harm: a handshake more for callers that would have come again soon.
+void Controller::Core::close_idle(const Gauges& gauges) {
+  if (!gauges.connections || terms_.longest_idle <= 0) return;
+  double idle = *gauges.connections - static_cast<double>(open_.size());
+  double most = kIdlePerCore * terms_.cores;
+  double factor = idle > most ? kIdleSooner : idle < most / 2 ? kIdleLater : 1;
+  Nanos limit = static_cast<Nanos>(factor * static_cast<double>(idle_limit_));
+  limit = std::clamp(limit, kIdleLeast, std::max(kIdleLeast, terms_.longest_idle));
+  if (limit != idle_limit_) host_.close_idle(limit);
+  idle_limit_ = limit;
+}
+
 // ---- The interface
 
 Controller::Controller(const ServiceTerms& terms, Host& host, std::uint64_t seed)
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -160,6 +160,7 @@
   terms.calls_share = number_or(family, "callsOut", 0);
   terms.calls_window = whole_or(family, "depWindowNs", 0);
   terms.call_lingers = whole_or(family, "staysForNs", 0);
+  terms.longest_idle = whole_or(family, "idleNs", 0);
   terms.fresh_for = whole_or(family, "freshNs", 0);
   terms.stop_mode = word<StopMode>(
       family, "stopMode",
@@ -221,6 +222,7 @@
   };
   gauge("core_use", gauges.core_use);
   gauge("on_cores", gauges.on_cores);
+  gauge("links", gauges.connections);
   return gauges;
 }
 
@@ -302,6 +304,7 @@
     line("ReportHealth", std::string(",\"stored\":true,\"want\":") + (good ? "true" : "false"));
   }
   void advertise(double value) override { line("Advertise", ",\"level\":" + std::to_string(value)); }
+  void close_idle(Nanos after) override { line("IdleLimit", ",\"forTimeNs\":" + std::to_string(after)); }
   void ring_in(Nanos delay, std::uint64_t token) override {
     line("SetTimer", ",\"sleepForNs\":" + std::to_string(delay) + ",\"token\":" + std::to_string(token));
   }
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -45,6 +45,7 @@
   terms.answer_slack = 100 * kMs;
   terms.tick = kMs;
   terms.longest_pause = kSecond;
+  terms.longest_idle = 30 * kSecond;
   return terms;
 }
 
@@ -75,11 +76,12 @@
   }
   void settle(Exchange& ex, Outcome outcome = Outcome::kOk) { controller.settled(ex, outcome, now); }
   // Lets time pass in beats, with the gauges given.
-  void pass(Nanos time, double on_cores = 2) {
+  void pass(Nanos time, double on_cores = 2, double connections = 2) {
     for (Nanos end = now + time; now < end;) {
       now += 25 * kMs;
       Gauges gauges;
       gauges.on_cores = on_cores;
+      gauges.connections = connections;
       controller.rang(0, gauges, now);
     }
   }
@@ -129,6 +131,7 @@
   void attach(Exchange& ex) override { note("attach", &ex); }
   void report_health(bool good) override { healthy = good; }
   void advertise(double value) override { advertised = value; }
+  void close_idle(Nanos after) override { idle_limit = after; }
   void ring_in(Nanos, std::uint64_t) override { note("ring", nullptr); }
   void log(const std::string& line) override { lines.push_back(line); }
   void release(Exchange&) override {}
@@ -137,6 +140,7 @@
   Nanos now = 100 * kSecond;
   Nanos stay_away = 0;
   Nanos kept_for = 0;
+  Nanos idle_limit = 0;
   bool healthy = false;
   bool not_elsewhere = false;
   double advertised = -1;
