The idle limit grows again while reading and handshakes crowd the cores

Cause: with tries in storms (6 to 10 a first try) a free table lets each one cost a handshake and a read.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -87,6 +87,8 @@
 constexpr double kIdlePerCore = 8;  // connections without an exchange in hand, for each core
 constexpr double kIdleSooner = 0.7;
 constexpr double kIdleLater = 1.1;
+constexpr double kIdleStorm = 1.5;
+constexpr double kDoorCrowd = 1;  // reading and handshakes on the cores, for each core: a storm of tries
 constexpr Nanos kIdleLeast = 10 * kMs;
 constexpr double kCallGuess = 0.05;  // seconds
 
@@ -942,12 +944,14 @@
 
 // Guards against a table of connections filled by many callers that each come rarely: a full one turns new
 // callers away unseen, while cores idle, and an open connection costs core time. Also against callers that
-// died. Harm: a handshake more for callers that would have come again soon.
+// died. Where reading and handshakes crowd the cores already, a fuller table keeps a storm of tries out, and the
+// limit grows again. Harm: a handshake more for callers that would have come again soon.
 void Controller::Core::close_idle(const Gauges& gauges) {
   if (!gauges.connections || terms_.longest_idle <= 0) return;
   double idle = *gauges.connections - static_cast<double>(open_.size());
   double most = kIdlePerCore * terms_.cores;
-  double factor = idle > most ? kIdleSooner : idle < most / 2 ? kIdleLater : 1;
+  bool stormed = crowd_.mean(terms_.cores, now_) - on_core_ > kDoorCrowd * terms_.cores;
+  double factor = stormed ? kIdleStorm : idle > most ? kIdleSooner : idle < most / 2 ? kIdleLater : 1;
   Nanos limit = static_cast<Nanos>(factor * static_cast<double>(idle_limit_));
   limit = std::clamp(limit, kIdleLeast, std::max(kIdleLeast, terms_.longest_idle));
   if (limit != idle_limit_) host_.close_idle(limit);
