Calls are out no longer than our share allows, and the call time is not forgotten

Cause: with a share of 0.44 calls each of 345 servers still keeps one out, and all get stuck at once when the dependency slows; few samples let the first guess pull the call time down, so the rate stayed too high. Next: the decaying sum sees a burst as less than it is.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -67,7 +67,7 @@
 constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
 constexpr double kCallPlaces = 0.5;   // of the crowd's ceiling: the rest is left to what runs
 constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
-constexpr double kCallsMost = 0.8;    // of our share, as a mean over its window
+constexpr double kCallsMost = 0.5;    // of our share over its window: the decaying sum sees a burst as less than it is
 constexpr double kSilence = 16;       // stalled when no run moves for this many core times over the runs, and
 constexpr double kSilenceLeast = 2;   // for this many more: what still runs is the longer part of it
 constexpr double kSilentSlo = 0.4;    // and the quiet lasts this part of the shortest SLO time
@@ -271,14 +271,20 @@
   double widest_room() const;
   double budget(std::size_t row, Nanos time) const { return kSloUsed * seconds(time) - run_time(row); }
   double call_rate() const;
-  double call_time() const { return call_time_.mean(kCallGuess, now_); }
+  double learned_call_time() const { return call_time_.mean(known_call_, now_); }
+  // One still out tells as much as one that ended.
+  double call_time() const {
+    return std::max(learned_call_time(), calls_out_.empty() ? 0 : seconds(now_ - calls_out_.front()->since));
+  }
+  double calls_budget() const { return kCallsMost * terms_.calls_share * seconds(terms_.calls_window); }
+  double longest_call() const;
   double call_wait(const Exchange& ex) const;
   double call_worth(const Exchange& ex) const { return ex.group->benefit * (1 - ex.group->skip_benefit); }
-  double calls_held() const { return calling_ + static_cast<double>(lingering_.size()); }
+  double calls_held() const { return static_cast<double>(calls_out_.size() + lingering_.size()); }
   double calls_target() const {
     return terms_.calls_share * std::clamp(kCallsQuick * quick_call_ / call_time(), kCallsSlow, kCallsQuick);
   }
-  int in_calls() const { return static_cast<int>(to_call_.size()) + calling_; }
+  int in_calls() const { return static_cast<int>(to_call_.size() + calls_out_.size()); }
   int call_places() const { return std::max(1, static_cast<int>(kCallPlaces * ceiling())); }
   bool may_call();
   bool can_start(const Exchange& ex) const;
@@ -319,6 +325,7 @@
 
   std::deque<Exchange*> held_;      // in arrival order
   std::deque<Exchange*> to_call_;   // waiting for leave to call
+  std::deque<Exchange*> calls_out_;  // oldest first
   std::vector<Exchange*> open_;     // all that are not over
   std::multiset<Nanos> keys_;       // when kept entries end
   std::multiset<Nanos> lingering_;  // when abandoned calls are surely gone
@@ -328,7 +335,6 @@
   int successes_ = 0;
   double limit_ = 0;
   int on_core_ = 0;
-  int calling_ = 0;
   double memory_kb_ = 0;
 
   Mode mode_ = Mode::kServing;
@@ -347,6 +353,7 @@
   DecayingMean pace_time_{kSlowRecent};  // core time as if nothing but runs shared the cores
   DecayingMean usual_time_{kUsualOver};  // the same, over long
   DecayingMean call_time_;
+  double known_call_ = kCallGuess;  // what it was when a call last ended
   double quick_call_ = 1e9;  // the best recent time of a call
   DecayingSum call_load_;    // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
@@ -498,7 +505,10 @@
 
 void Controller::Core::call_ended(Exchange& ex, Outcome outcome, Nanos took) {
   bool never_ran = outcome == Outcome::kFull || outcome == Outcome::kUnreachable;
-  if (!never_ran) call_time_.add(seconds(took), now_);
+  if (!never_ran) {
+    call_time_.add(seconds(took), now_);
+    known_call_ = learned_call_time();
+  }
   progress();
   apply(ex, outcome == Outcome::kOk ? Input::kCallOk : never_ran ? Input::kCallNone : Input::kCallLost);
 }
@@ -569,8 +579,10 @@
 void Controller::Core::issue(Exchange& ex) {
   std::erase(to_call_, &ex);
   ex.call_out = true;
-  ++calling_;
-  host_.call(ex, std::max<Nanos>(kMs, ex.due - now_));
+  ex.since = now_;
+  auto longest = static_cast<Nanos>(longest_call() * static_cast<double>(kSecond));
+  calls_out_.push_back(&ex);
+  host_.call(ex, std::max(kMs, std::min(ex.due - now_, longest)));
 }
 
 void Controller::Core::skip(Exchange& ex) {
@@ -849,7 +861,7 @@
   std::erase(to_call_, &ex);
   if (!ex.call_out) return;
   ex.call_out = false;
-  --calling_;
+  std::erase(calls_out_, &ex);
   if (ex.phase == Phase::kAbandoned) lingering_.insert(now_ + terms_.call_lingers);
 }
 
@@ -883,8 +895,15 @@
   pump_calls();
 }
 
+// How long a call may be out, so that with all others we hold no more than our share over its window even when
+// none comes back: what all servers call dies of many that each keep only one call too long. Harm: a call is
+// given up that would soon have ended; that is rare while the rate follows the time they take.
+double Controller::Core::longest_call() const {
+  return (calls_budget() - call_load_.read(now_)) / (calls_held() + 1) - seconds(terms_.call_lingers);
+}
+
 bool Controller::Core::may_call() {
-  if (call_load_.read(now_) > kCallsMost * terms_.calls_share * seconds(terms_.calls_window)) return false;
+  if (longest_call() < std::min(call_time(), calls_budget() / 2)) return false;
   return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
@@ -895,7 +914,7 @@
 void Controller::Core::pump_calls() {
   double passed = seconds(now_ - credited_);
   call_load_.add(calls_held() * passed, now_);
-  quick_call_ = std::min(call_time(), quick_call_ * (1 + kForget * passed));
+  quick_call_ = std::min(learned_call_time(), quick_call_ * (1 + kForget * passed));
   call_credit_ = std::min(std::max(1.0, calls_target()), call_credit_ + call_rate() * passed);
   credited_ = now_;
   std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
