Calls are not begun to be given up on, and what is known of their time follows the last ones

Cause: at the onset of a slow dependency calls timed out after 0.1 s, lingered, and taught that they are quick; the crowd took its throughput. A call now starts only with three times its recent time in the budget, and recent is 1 s.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -66,6 +66,8 @@
 constexpr double kCallsSlow = 0.3;  // and at least, when they are slow: it slows down well before all is used
 constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
 constexpr double kCallPlaces = 0.5;   // of the crowd's ceiling: the rest is left to what runs
+constexpr double kCallLonger = 3;     // times the recent time: a call is not begun to be given up on
+constexpr double kCallsFree = 0.8;    // of the budget: but is with so much of it free
 constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost = 0.5;    // of our share over its window: the decaying sum sees a burst as less than it is
 constexpr double kSilence = 16;       // stalled when no run moves for this many core times over the runs, and
@@ -79,6 +81,8 @@
 
 constexpr Nanos kBeat = 25 * kMs;
 constexpr Nanos kRecent = 4 * kSecond;
+constexpr double kCallKnown = 0.5;  // samples that the time last known weighs
+constexpr Nanos kCallRecent = kSecond;
 constexpr Nanos kSickRecent = 3 * kSecond;  // over which failed runs count
 constexpr Nanos kSlowRecent =
     2 * kSecond;  // over which this server is compared with itself, and customers counted
@@ -114,9 +118,9 @@
   explicit DecayingMean(Nanos over = kRecent) : total_(over), weight_(over) {}
   void add(double x, Nanos now) { total_.add(x, now), weight_.add(1, now); }
   // A guess counts as some samples: what ends first is not typical of all that runs.
-  double mean(double guess, Nanos now) const {
+  double mean(double guess, Nanos now, double samples = kGuess) const {
     double weight = weight_.read(now);
-    return (total_.read(now) + guess * kGuess) / (weight + kGuess);
+    return (total_.read(now) + guess * samples) / (weight + samples);
   }
 
  private:
@@ -271,7 +275,7 @@
   double widest_room() const;
   double budget(std::size_t row, Nanos time) const { return kSloUsed * seconds(time) - run_time(row); }
   double call_rate() const;
-  double learned_call_time() const { return call_time_.mean(known_call_, now_); }
+  double learned_call_time() const { return call_time_.mean(known_call_, now_, kCallKnown); }
   // One still out tells as much as one that ended.
   double call_time() const {
     return std::max(learned_call_time(), calls_out_.empty() ? 0 : seconds(now_ - calls_out_.front()->since));
@@ -352,7 +356,8 @@
   DecayingMean core_time_;
   DecayingMean pace_time_{kSlowRecent};  // core time as if nothing but runs shared the cores
   DecayingMean usual_time_{kUsualOver};  // the same, over long
-  DecayingMean call_time_;
+  DecayingMean call_time_{kCallRecent};
+  DecayingMean call_base_;
   double known_call_ = kCallGuess;  // what it was when a call last ended
   double quick_call_ = 1e9;  // the best recent time of a call
   DecayingSum call_load_;    // calls held below x seconds
@@ -507,6 +512,7 @@
   bool never_ran = outcome == Outcome::kFull || outcome == Outcome::kUnreachable;
   if (!never_ran) {
     call_time_.add(seconds(took), now_);
+    call_base_.add(seconds(took), now_);
     known_call_ = learned_call_time();
   }
   progress();
@@ -903,7 +909,7 @@
 }
 
 bool Controller::Core::may_call() {
-  if (longest_call() < std::min(call_time(), calls_budget() / 2)) return false;
+  if (longest_call() < std::min(kCallLonger * call_time(), kCallsFree * calls_budget())) return false;
   return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
@@ -914,7 +920,7 @@
 void Controller::Core::pump_calls() {
   double passed = seconds(now_ - credited_);
   call_load_.add(calls_held() * passed, now_);
-  quick_call_ = std::min(learned_call_time(), quick_call_ * (1 + kForget * passed));
+  quick_call_ = std::min(call_base_.mean(known_call_, now_), quick_call_ * (1 + kForget * passed));
   call_credit_ = std::min(std::max(1.0, calls_target()), call_credit_ + call_rate() * passed);
   credited_ = now_;
   std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
