The free part of the calls' budget is counted without the linger

Cause: after timed-out calls a server wanted three times a long time or 0.8 of its budget free; with the time that an abandoned call lingers taken off, that was never reached, and many servers never called again though the dependency was quick.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -909,7 +909,8 @@
 }
 
 bool Controller::Core::may_call() {
-  if (longest_call() < std::min(kCallLonger * call_time(), kCallsFree * calls_budget())) return false;
+  double most = calls_budget() - seconds(terms_.call_lingers);
+  if (longest_call() < std::min(kCallLonger * call_time(), kCallsFree * most)) return false;
   return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
