--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -960,7 +960,7 @@
   bool much = denied_.read(now_) > kDeniedFine * read_.read(now_);
   pressure_ = std::clamp(pressure_ + (much ? kPressMore : -kPressLess), 0.0, kPressMost);
   if (terms_.free_value == FreeValue::kAllowance) {
-    host_.advertise(well ? std::max(1.0, (limit_ + widest_room()) / terms_.callers) : 0.1);
+    host_.advertise(well ? std::max(1 - pressure_, (limit_ + widest_room()) / terms_.callers) : 0.1);
   } else if (terms_.free_value == FreeValue::kWeight) {
     host_.advertise(1 - (well ? pressure_ : kPressMost));
   } else {
