--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -303,7 +303,7 @@
   bool dependency_slow(const Exchange& ex) const {
     return ex.group->makes_calls && terms_.has_dependency && call_time() > kSlowCalls * quick_call_;
   }
-  Nanos stay_away();
+  Nanos stay_away(const Exchange& ex);
 
   // Upkeep.
   void late(Exchange& ex);
@@ -562,7 +562,7 @@
 void Controller::Core::deny(Exchange& ex) {
   denied_.add(1, now_);
   leave_hold(ex);
-  host_.deny(ex, fleet_short() || dependency_slow(ex), stay_away());
+  host_.deny(ex, fleet_short() || dependency_slow(ex), stay_away(ex));
 }
 
 void Controller::Core::run(Exchange& ex) {
@@ -816,10 +816,11 @@
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
-// Spread by chance, so that those sent away together don't come back together.
-Nanos Controller::Core::stay_away() {
+// The wait in the hold and, before it was read, that of the one denied. Spread by chance, so that those sent away
+// together don't come back together.
+Nanos Controller::Core::stay_away(const Exchange& ex) {
   if (mode_ != Mode::kServing) return terms_.longest_pause;
-  double wait = static_cast<double>(held_.size()) / pace();
+  double wait = static_cast<double>(held_.size()) / pace() + seconds(ex.admitted - ex.arrived);
   double part = std::uniform_real_distribution<double>(0.3, 0.7)(random_);
   return std::min(terms_.longest_pause, static_cast<Nanos>(part * wait * static_cast<double>(kSecond)));
 }
