Fewer idle connections where callers rarely return, and a table that fills quickly in a storm

Cause: with a thousand callers a connection kept open is not used again before it is closed, yet costs core time; with few callers it saves a handshake. The idle ones allowed follow how often a caller comes (reads over callers).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -88,10 +88,12 @@
     2 * kSecond;  // over which this server is compared with itself, and customers counted
 constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
-constexpr double kIdlePerCore = 8;  // connections without an exchange in hand, for each core
+constexpr double kIdlePerCore = 8;  // connections without an exchange in hand, for each core, where callers
+constexpr double kIdleReuse = 5;    // come back within this many seconds
+constexpr double kIdleFew = 1;      // and where they don't
 constexpr double kIdleSooner = 0.7;
 constexpr double kIdleLater = 1.1;
-constexpr double kIdleStorm = 1.5;
+constexpr double kIdleStorm = 4;
 constexpr double kDoorCrowd = 1;  // reading and handshakes on the cores, for each core: a storm of tries
 constexpr Nanos kIdleLeast = 10 * kMs;
 constexpr double kCallGuess = 0.05;  // seconds
@@ -976,7 +978,8 @@
 void Controller::Core::close_idle(const Gauges& gauges) {
   if (!gauges.connections || terms_.longest_idle <= 0) return;
   double idle = *gauges.connections - static_cast<double>(open_.size());
-  double most = kIdlePerCore * terms_.cores;
+  double returns = kIdleReuse * read_.read(now_) / seconds(kRecent) / terms_.callers;
+  double most = terms_.cores * (kIdleFew + (kIdlePerCore - kIdleFew) * std::min(1.0, returns));
   bool stormed = crowd_.mean(terms_.cores, now_) - on_core_ > kDoorCrowd * terms_.cores;
   double factor = stormed ? kIdleStorm : idle > most ? kIdleSooner : idle < most / 2 ? kIdleLater : 1;
   Nanos limit = static_cast<Nanos>(factor * static_cast<double>(idle_limit_));
