--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -88,8 +88,8 @@
     2 * kSecond;  // over which this server is compared with itself, and customers counted
 constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
-constexpr double kIdlePerCore = 8;  // connections without an exchange in hand, for each core, where callers
-constexpr double kIdleReuse = 5;    // come back within this many seconds
+constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where callers
+constexpr double kIdleReuse = 8;    // come back within this many seconds
 constexpr double kIdleFew = 1;      // and where they don't
 constexpr double kIdleSooner = 0.7;
 constexpr double kIdleLater = 1.1;
