A customer's rate starts from its quota as four exchanges

Cause: with a quota divided by hundreds of servers a single exchange looked several times beyond it, most of all for small customers.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -98,6 +98,7 @@
 constexpr Nanos kIdleLeast = 10 * kMs;
 constexpr double kCallGuess = 0.05;  // seconds
 
+constexpr double kQuotaGuess = 4;  // exchanges within its quota that a customer is taken to have sent
 constexpr double kGuess = 2;  // samples that a first guess weighs
 
 // A sum in which what is older counts less, brought up to date when it is read.
@@ -459,7 +460,7 @@
   ex.phase = Phase::kRead;
   ex.admitted = now_;
   open_.push_back(&ex);
-  if (ex.customer) customer_rate_[customer_of(ex)].add(1 / seconds(kSlowRecent), now_);
+  if (ex.customer) customer_rate_[customer_of(ex)].add(1, now_);
   // A repeat of a deduplicated exchange that runs, has run or is held here is never run again. It gets the
   // other's result; an id no longer known is one that has run. Two tries in one batch name each other, and
   // one turned away unrun binds nobody.
@@ -766,8 +767,10 @@
 // here, each one earns on average what the quota's part of the customer's rate does.
 double Controller::Core::customer_factor(const Exchange& ex) const {
   if (!ex.customer || ex.customer->quota_per_s <= 0) return 1;
-  double rate = customer_rate_[customer_of(ex)].read(now_);
-  double within = std::min(1.0, ex.customer->quota_per_s / terms_.servers / std::max(rate, 1e-9));
+  double quota = ex.customer->quota_per_s / terms_.servers;
+  double over = seconds(kSlowRecent);
+  double rate = (customer_rate_[customer_of(ex)].read(now_) + kQuotaGuess) / (over + kQuotaGuess / quota);
+  double within = std::min(1.0, quota / rate);
   return within + (1 - within) * terms_.over_share_benefit;
 }
 
