--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -983,7 +983,8 @@
   double idle = *gauges.connections - static_cast<double>(open_.size());
   double returns = kIdleReuse * read_.read(now_) / seconds(kRecent) / terms_.callers;
   double most = terms_.cores * (kIdleFew + (kIdlePerCore - kIdleFew) * std::min(1.0, returns));
-  bool stormed = crowd_.mean(terms_.cores, now_) - on_core_ > kDoorCrowd * terms_.cores;
+  bool busy = gauges.core_use.value_or(1) > kBusy;
+  bool stormed = busy && crowd_.mean(terms_.cores, now_) - on_core_ > kDoorCrowd * terms_.cores;
   double factor = stormed ? kIdleStorm : idle > most ? kIdleSooner : idle < most / 2 ? kIdleLater : 1;
   Nanos limit = static_cast<Nanos>(factor * static_cast<double>(idle_limit_));
   limit = std::clamp(limit, kIdleLeast, std::max(kIdleLeast, terms_.longest_idle));
