--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -65,11 +65,12 @@
 constexpr double kCallsQuick = 0.8;  // of our share of the dependency, while calls are quick
 constexpr double kCallsSlow = 0.3;  // and at least, when they are slow: it slows down well before all is used
 constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
-constexpr double kCallPlaces = 0.5;   // of the crowd's ceiling: the rest is left to what runs
-constexpr double kCallLonger = 3;     // times the recent time: a call is not begun to be given up on
-constexpr double kCallsFree = 0.8;    // of the budget: but is with so much of it free
-constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
-constexpr double kCallsMost = 0.5;    // of our share over its window: the decaying sum sees a burst as less than it is
+constexpr double kCallPlaces = 0.5;  // of the crowd's ceiling: the rest is left to what runs
+constexpr double kCallLonger = 3;    // times the recent time: a call is not begun to be given up on
+constexpr double kCallsFree = 0.8;   // of the budget: but is with so much of it free
+constexpr double kForget = 0.02;     // a second: how quickly the best call time is forgotten
+constexpr double kCallsMost =
+    0.5;  // of our share over its window: the decaying sum sees a burst as less than it is
 constexpr double kSilence = 16;       // stalled when no run moves for this many core times over the runs, and
 constexpr double kSilenceLeast = 2;   // for this many more: what still runs is the longer part of it
 constexpr double kSilentSlo = 0.4;    // and the quiet lasts this part of the shortest SLO time
@@ -89,8 +90,8 @@
 constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
 constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where callers
-constexpr double kIdleReuse = 8;    // come back within this many seconds
-constexpr double kIdleFew = 1;      // and where they don't
+constexpr double kIdleReuse = 8;     // come back within this many seconds
+constexpr double kIdleFew = 1;       // and where they don't
 constexpr double kIdleSooner = 0.7;
 constexpr double kIdleLater = 1.1;
 constexpr double kIdleStorm = 4;
@@ -99,7 +100,7 @@
 constexpr double kCallGuess = 0.05;  // seconds
 
 constexpr double kQuotaGuess = 4;  // exchanges within its quota that a customer is taken to have sent
-constexpr double kGuess = 2;  // samples that a first guess weighs
+constexpr double kGuess = 2;       // samples that a first guess weighs
 
 // A sum in which what is older counts less, brought up to date when it is read.
 class DecayingSum {
@@ -330,12 +331,12 @@
   Nanos now_ = 0;
   Nanos started_ = 0;
 
-  std::deque<Exchange*> held_;      // in arrival order
-  std::deque<Exchange*> to_call_;   // waiting for leave to call
+  std::deque<Exchange*> held_;       // in arrival order
+  std::deque<Exchange*> to_call_;    // waiting for leave to call
   std::deque<Exchange*> calls_out_;  // oldest first
-  std::vector<Exchange*> open_;     // all that are not over
-  std::multiset<Nanos> keys_;       // when kept entries end
-  std::multiset<Nanos> lingering_;  // when abandoned calls are surely gone
+  std::vector<Exchange*> open_;      // all that are not over
+  std::multiset<Nanos> keys_;        // when kept entries end
+  std::multiset<Nanos> lingering_;   // when abandoned calls are surely gone
 
   int window_ = 0;
   int min_window_ = 0;
@@ -362,8 +363,8 @@
   DecayingMean call_time_{kCallRecent};
   DecayingMean call_base_;
   double known_call_ = kCallGuess;  // what it was when a call last ended
-  double quick_call_ = 1e9;  // the best recent time of a call
-  DecayingSum call_load_;    // calls held below x seconds
+  double quick_call_ = 1e9;         // the best recent time of a call
+  DecayingSum call_load_;           // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_;
   DecayingSum read_;
@@ -821,8 +822,8 @@
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
-// The wait in the hold and, before it was read, that of the one denied. Spread by chance, so that those sent away
-// together don't come back together.
+// The wait in the hold and, before it was read, that of the one denied. Spread by chance, so that those sent
+// away together don't come back together.
 Nanos Controller::Core::stay_away(const Exchange& ex) {
   if (mode_ != Mode::kServing) return terms_.longest_pause;
   double wait = static_cast<double>(held_.size()) / pace() + seconds(ex.admitted - ex.arrived);
@@ -907,9 +908,9 @@
   pump_calls();
 }
 
-// How long a call may be out, so that with all others we hold no more than our share over its window even when
-// none comes back: what all servers call dies of many that each keep only one call too long. Harm: a call is
-// given up that would soon have ended; that is rare while the rate follows the time they take.
+// How long a call may be out, so that with all others we hold no more than our share over its window even
+// when none comes back: what all servers call dies of many that each keep only one call too long. Harm: a
+// call is given up that would soon have ended; that is rare while the rate follows the time they take.
 double Controller::Core::longest_call() const {
   return (calls_budget() - call_load_.read(now_)) / (calls_held() + 1) - seconds(terms_.call_lingers);
 }
@@ -976,8 +977,8 @@
 
 // Guards against a table of connections filled by many callers that each come rarely: a full one turns new
 // callers away unseen, while cores idle, and an open connection costs core time. Also against callers that
-// died. Where reading and handshakes crowd the cores already, a fuller table keeps a storm of tries out, and the
-// limit grows again. Harm: a handshake more for callers that would have come again soon.
+// died. Where reading and handshakes crowd the cores already, a fuller table keeps a storm of tries out, and
+// the limit grows again. Harm: a handshake more for callers that would have come again soon.
 void Controller::Core::close_idle(const Gauges& gauges) {
   if (!gauges.connections || terms_.longest_idle <= 0) return;
   double idle = *gauges.connections - static_cast<double>(open_.size());
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -124,7 +124,7 @@
     stay_away = pause;
   }
   void terminate(Exchange& ex) override { note("terminate", &ex); }
-  void call(Exchange& ex, Nanos) override { note("call", &ex); }
+  void call(Exchange& ex, Nanos longest) override { note("call", &ex), longest_call = longest; }
   void skip_call(Exchange& ex) override { note("skip", &ex); }
   void keep_key(Exchange& ex, Nanos lifetime) override { note("keep", &ex), kept_for = lifetime; }
   void drop_key(Exchange& ex) override { note("drop key", &ex); }
@@ -140,6 +140,7 @@
   Nanos now = 100 * kSecond;
   Nanos stay_away = 0;
   Nanos kept_for = 0;
+  Nanos longest_call = 0;
   Nanos idle_limit = 0;
   bool healthy = false;
   bool not_elsewhere = false;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -236,6 +236,68 @@
   EXPECT_EQ(host.last_of(skipper), "skip");
 }
 
+// A server's share of the dependency where hundreds have one each.
+ServiceTerms small_share() {
+  ServiceTerms terms = two_core_terms();
+  terms.calls_share = 0.4;
+  return terms;
+}
+
+TEST(Calls, OneIsOutNoLongerThanASmallShareAllows) {
+  FakeHost host(small_share());
+  host.controller.reached_call(host.read(kSkipperGroup), host.now);
+  EXPECT_EQ(host.count("call"), 1);
+  EXPECT_LE(host.longest_call, 1 * kSecond) << "0.4 calls over 5 s are 2 s of calls, for all that is begun";
+  EXPECT_GE(host.longest_call, 500 * kMs);
+}
+
+TEST(Calls, AfterOnesGivenUpOnTheyGoOutAgain) {
+  FakeHost host(small_share());
+  for (int i = 0; i < 3; ++i) {
+    Exchange& lost = host.read(kSkipperGroup);
+    host.controller.reached_call(lost, host.now);
+    host.pass(800 * kMs);
+    host.controller.call_ended(lost, Outcome::kTimedOut, 800 * kMs, host.now);
+    host.settle(lost);
+  }
+  int before = host.count("call");
+  host.pass(30 * kSecond);
+  host.controller.reached_call(host.read(kCallerGroup), host.now);
+  host.pass(100 * kMs);
+  EXPECT_EQ(host.count("call"), before + 1);
+}
+
+TEST(Calls, ASlowTimeIsNotForgottenWhileNoneIsMade) {
+  FakeHost host(small_share());
+  host.serve_calls(20, 25 * kMs);
+  host.serve_calls(4, 400 * kMs);
+  host.pass(10 * kSecond);
+  Exchange& first = host.read(kCallerGroup);
+  host.controller.reached_call(first, host.now);
+  host.controller.reached_call(host.read(kCallerGroup), host.now);
+  int before = host.count("call");
+  host.pass(400 * kMs);
+  host.controller.call_ended(first, Outcome::kOk, 400 * kMs, host.now);
+  host.pass(400 * kMs);
+  EXPECT_EQ(host.count("call"), before) << "the rate follows the slow calls, not a first guess";
+}
+
+TEST(Connections, IdleOnesAreClosedSoonWhereManyCallersComeRarely) {
+  ServiceTerms terms = two_core_terms();
+  terms.callers = 1000;
+  FakeHost host(terms);
+  host.pass(10 * kSecond, 2, 70);
+  EXPECT_LT(host.idle_limit, kSecond) << "a full table turns callers away unseen";
+  host.pass(10 * kSecond, 12, 70);
+  EXPECT_EQ(host.idle_limit, 30 * kSecond) << "in a storm of tries a full table keeps them out";
+}
+
+TEST(Connections, FewCallersKeepTheirs) {
+  FakeHost host;
+  for (int i = 0; i < 20; ++i) host.serve(1, 200 * kMs), host.pass(100 * kMs, 2, 25);
+  EXPECT_EQ(host.idle_limit, 0) << "never asked for: they come back soon";
+}
+
 TEST(Drain, WhatComesAfterTheGraceIsDeniedAndAllIsAnsweredBeforeTheStop) {
   FakeHost host;
   Exchange& running = host.read(kWriteGroup);
@@ -324,6 +386,16 @@
   EXPECT_NE(host.last_of(host.read(kReadGroup, of(0))), "deny");
 }
 
+TEST(Room, OneExchangeOfASmallCustomerIsNotFarBeyondItsPartOfTheQuota) {
+  ServiceTerms terms = two_core_terms();
+  terms.servers = 100;
+  FakeHost host(terms);
+  host.serve(20, 400 * kMs);
+  host.read_many(2 + 3);
+  auto of_small = [&](Exchange& ex) { ex.customer = &host.terms.customers[1]; };
+  EXPECT_EQ(host.last_of(host.read(kReadGroup, of_small)), "");
+}
+
 TEST(Advice, ADenialIsPassedToTheClientOnlyWhereTheFleetIsShort) {
   FakeHost host;
   host.serve(20, 200 * kMs);
@@ -344,6 +416,18 @@
   EXPECT_LT(host.advertised, 0.7 * quick);
 }
 
+TEST(Advice, AnAllowanceOfMoreCallersThanPlacesFallsUnderOneWithDenials) {
+  ServiceTerms terms = two_core_terms();
+  terms.free_value = FreeValue::kAllowance;
+  terms.callers = 1000;
+  FakeHost host(terms);
+  host.pass(kSecond);
+  EXPECT_EQ(host.advertised, 1);
+  host.read_many(60);
+  host.pass(2 * kSecond);
+  EXPECT_LT(host.advertised, 0.8);
+}
+
 TEST(Advice, AFloorRisesWithDenialsAndFallsWithoutThem) {
   ServiceTerms terms = two_core_terms();
   terms.free_value = FreeValue::kFloor;
