Calls spend the time that they take, not a guessed one

Cause: paced by a time learned from few and noisy calls, a slow dependency was asked for a third of what it could do (15 calls held of 45 meant). What we may spend accrues at the target and is spent by what is held.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -68,6 +68,7 @@
 constexpr double kCallPlaces = 0.5;  // of the crowd's ceiling: the rest is left to what runs
 constexpr double kCallLonger = 3;    // times the recent time: a call is not begun to be given up on
 constexpr double kCallsFree = 0.8;   // of the budget: but is with so much of it free
+constexpr double kCallsBurst = 0.2;    // of the budget, saved up while few calls were made
 constexpr double kForget = 0.02;     // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost =
     0.5;  // of our share over its window: the decaying sum sees a burst as less than it is
@@ -368,7 +369,7 @@
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_;
   DecayingSum read_;
-  double call_credit_ = 1;
+  double call_credit_ = 0;  // call seconds that are ours to spend
   Nanos credited_ = 0;
   Nanos advertised_ = 0;
   Nanos idle_limit_ = 0;
@@ -918,7 +919,7 @@
 bool Controller::Core::may_call() {
   double most = calls_budget() - seconds(terms_.call_lingers);
   if (longest_call() < std::min(kCallLonger * call_time(), kCallsFree * most)) return false;
-  return call_credit_ >= 1 && calls_held() + 1 <= std::max(1.0, calls_target());
+  return call_credit_ >= 0 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
 // Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time,
@@ -929,7 +930,7 @@
   double passed = seconds(now_ - credited_);
   call_load_.add(calls_held() * passed, now_);
   quick_call_ = std::min(call_base_.mean(known_call_, now_), quick_call_ * (1 + kForget * passed));
-  call_credit_ = std::min(std::max(1.0, calls_target()), call_credit_ + call_rate() * passed);
+  call_credit_ = std::min(kCallsBurst * calls_budget(), call_credit_ + (calls_target() - calls_held()) * passed);
   credited_ = now_;
   std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
   std::stable_sort(waiting.begin(), waiting.end(),
@@ -945,7 +946,6 @@
     } else if ((crowded || dependency_slow(*ex)) && left < 0) {
       apply(*ex, Input::kGiveUp);
     } else if (may_call()) {
-      call_credit_ -= 1;
       apply(*ex, Input::kIssue);
     }
   }
