What may skip its call is not kept out for want of a place

Cause: with all places at calls taken, the front denied also what could have gone on without its call.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -305,6 +305,9 @@
     bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
     return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
   }
+  bool needs_call(const Exchange& ex) const {
+    return ex.group->makes_calls && terms_.has_dependency && ex.group->skip_benefit <= 0;
+  }
   bool dependency_slow(const Exchange& ex) const {
     return ex.group->makes_calls && terms_.has_dependency && call_time() > kSlowCalls * quick_call_;
   }
@@ -685,7 +688,7 @@
 // With all places at calls taken and the dependency slow, one that needs a call would keep those behind it
 // from idle cores. Harm: one denied just before a place comes free.
 bool Controller::Core::no_call_place(const Exchange& ex) const {
-  return held_.size() > 1 && dependency_slow(ex) && in_calls() >= call_places();
+  return held_.size() > 1 && needs_call(ex) && dependency_slow(ex) && in_calls() >= call_places();
 }
 
 // ---- Modes
@@ -810,7 +813,7 @@
 // How long the calls of one that can't do without them would wait for leave: behind all that are worth as
 // much.
 double Controller::Core::call_wait(const Exchange& ex) const {
-  if (!ex.group->makes_calls || !terms_.has_dependency || ex.group->skip_benefit > 0) return 0;
+  if (!needs_call(ex)) return 0;
   double ahead = 0;
   for (const Exchange* other : to_call_) ahead += call_worth(*other) >= call_worth(ex);
   return ahead / call_rate() * rows_[row_of(ex)].calls.mean(1, now_);
@@ -819,7 +822,7 @@
 bool Controller::Core::can_start(const Exchange& ex) const {
   if (mode_ == Mode::kStalled || on_core_ + 1 > (mode_ == Mode::kTrial ? kTrialRuns : limit_)) return false;
   if (on_core_ + in_calls() + 1 > ceiling()) return false;
-  if (ex.group->makes_calls && in_calls() >= call_places()) return false;
+  if (needs_call(ex) && in_calls() >= call_places()) return false;
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
