--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -500,8 +500,10 @@
       }
       trial_good_ = good ? trial_good_ + 1 : 0;
     }
-    // What spans a stall tells how long the stall was, not how long work takes.
-    if (good && ex.started >= stalled_at_) {
+    // What was stopped on a core tells that work takes longer: without it, only what is short would count. What
+    // spans a stall tells how long the stall was, not how long work takes.
+    bool stopped = outcome == Outcome::kCanceled && ex.on_core;
+    if ((good || stopped) && ex.started >= stalled_at_) {
       off_core(ex);
       double spent = seconds(ex.core_time);
       rows_[row_of(ex)].core_time.add(spent, now_);
