Terms at their edges: no share of calls, a tiny one, no window, no core

With no share what needs a call is denied and the rest goes on without; a lingering call weighs at most half of a tiny share, so that quick calls still go out; a server with no core is a plain message.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -68,7 +68,7 @@
 constexpr double kCallPlaces = 0.5;  // of the crowd's ceiling: the rest is left to what runs
 constexpr double kCallLonger = 3;    // times the recent time: a call is not begun to be given up on
 constexpr double kCallsFree = 0.8;   // of the budget: but is with so much of it free
-constexpr double kCallsBurst = 0.2;    // of the budget, saved up while few calls were made
+constexpr double kCallsBurst = 0.2;  // of the budget, saved up while few calls were made
 constexpr double kForget = 0.02;     // a second: how quickly the best call time is forgotten
 constexpr double kCallsMost =
     0.5;  // of our share over its window: the decaying sum sees a burst as less than it is
@@ -152,7 +152,8 @@
     limit_ = terms_.cores;
     shortest_slo_ = terms_.groups.front().slo_time;
     for (const EndpointGroup& group : terms_.groups) shortest_slo_ = std::min(shortest_slo_, group.slo_time);
-    call_load_ = DecayingSum(std::max(kSecond, terms_.calls_window));
+    calls_over_ = std::max(kSecond, terms_.calls_window);
+    call_load_ = DecayingSum(calls_over_);
     rows_.resize(terms_.groups.size());
     customer_rate_.assign(terms_.customers.size(), DecayingSum(kSlowRecent));
   }
@@ -285,7 +286,8 @@
   double call_time() const {
     return std::max(learned_call_time(), calls_out_.empty() ? 0 : seconds(now_ - calls_out_.front()->since));
   }
-  double calls_budget() const { return kCallsMost * terms_.calls_share * seconds(terms_.calls_window); }
+  double calls_budget() const { return kCallsMost * terms_.calls_share * seconds(calls_over_); }
+  double lingering_cost() const { return std::min(seconds(terms_.call_lingers), calls_budget() / 2); }
   double longest_call() const;
   double call_wait(const Exchange& ex) const;
   double call_worth(const Exchange& ex) const { return ex.group->benefit * (1 - ex.group->skip_benefit); }
@@ -294,7 +296,9 @@
     return terms_.calls_share * std::clamp(kCallsQuick * quick_call_ / call_time(), kCallsSlow, kCallsQuick);
   }
   int in_calls() const { return static_cast<int>(to_call_.size() + calls_out_.size()); }
-  int call_places() const { return std::max(1, static_cast<int>(kCallPlaces * ceiling())); }
+  int call_places() const {
+    return terms_.calls_share <= 0 ? 0 : std::max(1, static_cast<int>(kCallPlaces * ceiling()));
+  }
   bool may_call();
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
@@ -368,6 +372,7 @@
   DecayingMean call_base_;
   double known_call_ = kCallGuess;  // what it was when a call last ended
   double quick_call_ = 1e9;         // the best recent time of a call
+  Nanos calls_over_ = 0;            // the window of our share
   DecayingSum call_load_;           // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_;
@@ -500,8 +505,8 @@
       }
       trial_good_ = good ? trial_good_ + 1 : 0;
     }
-    // What was stopped on a core tells that work takes longer: without it, only what is short would count. What
-    // spans a stall tells how long the stall was, not how long work takes.
+    // What was stopped on a core tells that work takes longer: without it, only what is short would count.
+    // What spans a stall tells how long the stall was, not how long work takes.
     bool stopped = outcome == Outcome::kCanceled && ex.on_core;
     if ((good || stopped) && ex.started >= stalled_at_) {
       off_core(ex);
@@ -690,7 +695,8 @@
 // With all places at calls taken and the dependency slow, one that needs a call would keep those behind it
 // from idle cores. Harm: one denied just before a place comes free.
 bool Controller::Core::no_call_place(const Exchange& ex) const {
-  return held_.size() > 1 && needs_call(ex) && dependency_slow(ex) && in_calls() >= call_places();
+  if (!needs_call(ex) || in_calls() < call_places()) return false;
+  return call_places() == 0 || (held_.size() > 1 && dependency_slow(ex));
 }
 
 // ---- Modes
@@ -918,11 +924,11 @@
 // when none comes back: what all servers call dies of many that each keep only one call too long. Harm: a
 // call is given up that would soon have ended; that is rare while the rate follows the time they take.
 double Controller::Core::longest_call() const {
-  return (calls_budget() - call_load_.read(now_)) / (calls_held() + 1) - seconds(terms_.call_lingers);
+  return (calls_budget() - call_load_.read(now_)) / (calls_held() + 1) - lingering_cost();
 }
 
 bool Controller::Core::may_call() {
-  double most = calls_budget() - seconds(terms_.call_lingers);
+  double most = calls_budget() - lingering_cost();
   if (longest_call() < std::min(kCallLonger * call_time(), kCallsFree * most)) return false;
   return call_credit_ >= 0 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
@@ -935,7 +941,8 @@
   double passed = seconds(now_ - credited_);
   call_load_.add(calls_held() * passed, now_);
   quick_call_ = std::min(call_base_.mean(known_call_, now_), quick_call_ * (1 + kForget * passed));
-  call_credit_ = std::min(kCallsBurst * calls_budget(), call_credit_ + (calls_target() - calls_held()) * passed);
+  call_credit_ =
+      std::min(kCallsBurst * calls_budget(), call_credit_ + (calls_target() - calls_held()) * passed);
   credited_ = now_;
   std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
   std::stable_sort(waiting.begin(), waiting.end(),
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -152,6 +152,7 @@
   object family = part(env, "familyInfo");
   terms.callers = static_cast<int>(std::max<std::int64_t>(1, whole_or(family, "senders", 1)));
   terms.cores = static_cast<int>(whole(family, "nCores"));
+  if (terms.cores < 1) bad("nCores", "is under 1");
   terms.memory_kb = number(family, "ramKb");
   terms.run_factor = number_or(family, "blowup", 1);
   terms.key_kb = number_or(family, "keyKb", 0);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -251,6 +251,30 @@
   EXPECT_GE(host.longest_call, 500 * kMs);
 }
 
+TEST(Calls, WithNoShareAtAllWhatNeedsACallIsDeniedAndTheRestGoesOnWithout) {
+  ServiceTerms terms = small_share();
+  terms.calls_share = 0;
+  FakeHost host(terms);
+  EXPECT_EQ(host.last_of(host.read(kCallerGroup)), "deny");
+  Exchange& skipper = host.read(kSkipperGroup);
+  host.controller.reached_call(skipper, host.now);
+  EXPECT_EQ(host.last_of(skipper), "skip");
+}
+
+TEST(Calls, ATinyShareStillLetsQuickOnesOut) {
+  ServiceTerms terms = small_share();
+  terms.calls_share = 0.02;
+  FakeHost host(terms);
+  for (int i = 0; i < 3; ++i) {
+    Exchange& ex = host.read(kCallerGroup);
+    host.controller.reached_call(ex, host.now);
+    EXPECT_EQ(host.last_of(ex), "call");
+    host.controller.call_ended(ex, Outcome::kOk, 5 * kMs, host.now);
+    host.settle(ex);
+    host.pass(5 * kSecond);
+  }
+}
+
 TEST(Calls, AfterOnesGivenUpOnTheyGoOutAgain) {
   FakeHost host(small_share());
   for (int i = 0; i < 3; ++i) {
