One account of call seconds paces calls and bounds each one

What we may spend accrues at the target, is spent by what is held, saves up a twentieth of the share over its window and may go 0.3 of it into debt: that bounds how long a call may be out. It replaces a decaying load, a budget and two thresholds.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -65,13 +65,10 @@
 constexpr double kCallsQuick = 0.8;  // of our share of the dependency, while calls are quick
 constexpr double kCallsSlow = 0.3;  // and at least, when they are slow: it slows down well before all is used
 constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
-constexpr double kCallPlaces = 0.5;  // of the crowd's ceiling: the rest is left to what runs
-constexpr double kCallLonger = 3;    // times the recent time: a call is not begun to be given up on
-constexpr double kCallsFree = 0.4;   // of the budget: but is with so much of it free
-constexpr double kCallsBurst = 0.2;  // of the budget, saved up while few calls were made
-constexpr double kForget = 0.02;     // a second: how quickly the best call time is forgotten
-constexpr double kCallsMost =
-    0.5;  // of our share over its window: the decaying sum sees a burst as less than it is
+constexpr double kCallPlaces = 0.5;   // of the crowd's ceiling: the rest is left to what runs
+constexpr double kCallsBurst = 0.05;  // of our share over its window, saved up while few calls were made
+constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
+constexpr double kCallsDebt = 0.3;    // of the same, owed at most by a call that does not come back
 constexpr double kSilence = 16;       // stalled when no run moves for this many core times over the runs, and
 constexpr double kSilenceLeast = 2;   // for this many more: what still runs is the longer part of it
 constexpr double kSilentSlo = 0.4;    // and the quiet lasts this part of the shortest SLO time
@@ -153,7 +150,6 @@
     shortest_slo_ = terms_.groups.front().slo_time;
     for (const EndpointGroup& group : terms_.groups) shortest_slo_ = std::min(shortest_slo_, group.slo_time);
     calls_over_ = std::max(kSecond, terms_.calls_window);
-    call_load_ = DecayingSum(calls_over_);
     rows_.resize(terms_.groups.size());
     customer_rate_.assign(terms_.customers.size(), DecayingSum(kSlowRecent));
   }
@@ -286,8 +282,7 @@
   double call_time() const {
     return std::max(learned_call_time(), calls_out_.empty() ? 0 : seconds(now_ - calls_out_.front()->since));
   }
-  double calls_budget() const { return kCallsMost * terms_.calls_share * seconds(calls_over_); }
-  double lingering_cost() const { return std::min(seconds(terms_.call_lingers), calls_budget() / 2); }
+  double share_over_window() const { return terms_.calls_share * seconds(calls_over_); }
   double longest_call() const;
   double call_wait(const Exchange& ex) const;
   double call_worth(const Exchange& ex) const { return ex.group->benefit * (1 - ex.group->skip_benefit); }
@@ -373,7 +368,6 @@
   double known_call_ = kCallGuess;  // what it was when a call last ended
   double quick_call_ = 1e9;         // the best recent time of a call
   Nanos calls_over_ = 0;            // the window of our share
-  DecayingSum call_load_;           // calls held below x seconds
   DecayingMean crowd_{250 * kMs};
   DecayingSum denied_;
   DecayingSum read_;
@@ -924,12 +918,12 @@
 // when none comes back: what all servers call dies of many that each keep only one call too long. Harm: a
 // call is given up that would soon have ended; that is rare while the rate follows the time they take.
 double Controller::Core::longest_call() const {
-  return (calls_budget() - call_load_.read(now_)) / (calls_held() + 1) - lingering_cost();
+  double debt = kCallsDebt * share_over_window();
+  double lingers = std::min(seconds(terms_.call_lingers), debt / 2);
+  return (call_credit_ + debt) / (calls_held() + 1) - lingers;
 }
 
 bool Controller::Core::may_call() {
-  double most = calls_budget() - lingering_cost();
-  if (longest_call() < std::min(kCallLonger * call_time(), kCallsFree * most)) return false;
   return call_credit_ >= 0 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
@@ -939,10 +933,9 @@
 // A lost call of what must not happen twice ends the exchange.
 void Controller::Core::pump_calls() {
   double passed = seconds(now_ - credited_);
-  call_load_.add(calls_held() * passed, now_);
   quick_call_ = std::min(call_base_.mean(known_call_, now_), quick_call_ * (1 + kForget * passed));
   call_credit_ =
-      std::min(kCallsBurst * calls_budget(), call_credit_ + (calls_target() - calls_held()) * passed);
+      std::min(kCallsBurst * share_over_window(), call_credit_ + (calls_target() - calls_held()) * passed);
   credited_ = now_;
   std::vector<Exchange*> waiting(to_call_.begin(), to_call_.end());
   std::stable_sort(waiting.begin(), waiting.end(),
