--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -12,10 +12,12 @@
 //   2. out of time: what can no longer meet its SLO time, on arrival, at the front or waiting for a slow
 //      dependency, gives way to the others.
 //   3. modes: a server whose work stands still or fails denies, reports it, and comes back by trial runs.
-//   4. call pacing: calls below are paid by the time they take, out of a share of the dependency that is smaller
+//   4. call pacing: calls below are paid by the time they take, out of a share of the dependency that is
+//   smaller
 //      while they are slow; each may be out for so long; some may be skipped.
 //   5. advice: denials say how long to stay away, and the free value says how much is welcome.
-//   6. connections: idle ones are closed the sooner the more are open and the rarer a caller returns, and kept
+//   6. connections: idle ones are closed the sooner the more are open and the rarer a caller returns, and
+//   kept
 //      in a storm of tries.
 // The guards that the four rules ask for (due times, keys, memory, crowd, drain) stand with the inputs.
 #include <algorithm>
@@ -56,7 +58,6 @@
 constexpr double kLateIsFine =
     0.5;  // share of the benefit kept past the SLO time from which that does not matter
 constexpr double kUnreadLong = 0.2;   // of the SLO time, spent before it was read: others queue unread
-constexpr double kUsual = 1.4;        // times its usual core time, and a server is slow for itself
 constexpr double kMuchDenied = 0.35;  // of what is read: more than uneven callers explain
 constexpr double kDeniedFine = 0.1;   // of what is read; with more denied, floor and weight keep more back
 constexpr double kPressMore = 0.05;
@@ -87,7 +88,6 @@
 constexpr Nanos kSickRecent = 3 * kSecond;  // over which failed runs count
 constexpr Nanos kSlowRecent =
     2 * kSecond;  // over which this server is compared with itself, and customers counted
-constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
 constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where callers
 constexpr double kIdleReuse = 8;     // come back within this many seconds
@@ -299,12 +299,11 @@
   bool may_call();
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
-  // As quick as it usually is and still denying much, this server is one of many that are short: a denial is
-  // then best passed to the client at once, as every further try costs another server its reading. Harm:
-  // where callers crowd that much on some servers while others idle.
+  // Serving and still denying much, this server is taken for one of many that are short: a denial is then
+  // best passed to the client at once, as every further try costs another server its reading. Harm: where
+  // callers crowd that much on some servers while others idle.
   bool fleet_short() const {
-    bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
-    return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
+    return mode_ == Mode::kServing && denied_.read(now_) > kMuchDenied * read_.read(now_);
   }
   bool needs_call(const Exchange& ex) const {
     return ex.group->makes_calls && terms_.has_dependency && ex.group->skip_benefit <= 0;
@@ -363,8 +362,6 @@
   std::vector<GroupRow> rows_;
   std::vector<DecayingSum> customer_rate_;
   DecayingMean core_time_;
-  DecayingMean pace_time_{kSlowRecent};  // core time as if nothing but runs shared the cores
-  DecayingMean usual_time_{kUsualOver};  // the same, over long
   DecayingMean call_time_{kCallRecent};
   DecayingMean call_base_;
   double known_call_ = kCallGuess;  // what it was when a call last ended
@@ -511,9 +508,6 @@
       rows_[row_of(ex)].run_time.add(seconds(now_ - ex.started), now_);
       rows_[row_of(ex)].calls.add(ex.calls, now_);
       core_time_.add(spent, now_);
-      double alone = spent * std::min(1.0, terms_.cores / std::max(1.0, crowd_.mean(terms_.cores, now_)));
-      pace_time_.add(alone, now_);
-      usual_time_.add(alone, now_);
     }
   }
   apply(ex, Input::kDone);
