--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,9 +54,8 @@
 constexpr double kKeyMemory = 0.5;  // up to here, keys of reads that may share an answer are worth theirs
 
 // Room, calls and modes.
-constexpr double kSloUsed = 0.7;  // of the SLO time that an exchange may be expected to take
-constexpr double kLateIsFine =
-    0.5;  // share of the benefit kept past the SLO time from which that does not matter
+constexpr double kSloUsed = 0.7;      // of the SLO time that an exchange may be expected to take
+constexpr double kLateIsFine = 0.5;   // of the benefit kept past the SLO time: that time then does not matter
 constexpr double kUnreadLong = 0.2;   // of the SLO time, spent before it was read: others queue unread
 constexpr double kMuchDenied = 0.35;  // of what is read: more than uneven callers explain
 constexpr double kDeniedFine = 0.1;   // of what is read; with more denied, floor and weight keep more back
@@ -83,15 +82,14 @@
 
 constexpr Nanos kBeat = 25 * kMs;
 constexpr Nanos kRecent = 4 * kSecond;
-constexpr double kCallKnown = 0.5;  // samples that the time last known weighs
 constexpr Nanos kCallRecent = kSecond;
-constexpr Nanos kSickRecent = 3 * kSecond;  // over which failed runs count
-constexpr Nanos kSlowRecent =
-    2 * kSecond;  // over which this server is compared with itself, and customers counted
+constexpr double kCallKnown = 0.5;              // samples that the call time last known weighs
+constexpr Nanos kSickRecent = 3 * kSecond;      // over which failed runs count
+constexpr Nanos kCustomerRecent = 2 * kSecond;  // over which customers are counted
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
-constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where callers
-constexpr double kIdleReuse = 8;     // come back within this many seconds
-constexpr double kIdleFew = 1;       // and where they don't
+constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where a caller
+constexpr double kIdleReuse = 8;     // comes back within this many seconds,
+constexpr double kIdleFew = 1;       // and where it does not
 constexpr double kIdleSooner = 0.7;
 constexpr double kIdleLater = 1.1;
 constexpr double kIdleStorm = 4;
@@ -153,7 +151,7 @@
     for (const EndpointGroup& group : terms_.groups) shortest_slo_ = std::min(shortest_slo_, group.slo_time);
     calls_over_ = std::max(kSecond, terms_.calls_window);
     rows_.resize(terms_.groups.size());
-    customer_rate_.assign(terms_.customers.size(), DecayingSum(kSlowRecent));
+    customer_rate_.assign(terms_.customers.size(), DecayingSum(kCustomerRecent));
   }
 
   // Inputs.
@@ -771,7 +769,7 @@
 double Controller::Core::customer_factor(const Exchange& ex) const {
   if (!ex.customer || ex.customer->quota_per_s <= 0) return 1;
   double quota = ex.customer->quota_per_s / terms_.servers;
-  double over = seconds(kSlowRecent);
+  double over = seconds(kCustomerRecent);
   double rate = (customer_rate_[customer_of(ex)].read(now_) + kQuotaGuess) / (over + kQuotaGuess / quota);
   double within = std::min(1.0, quota / rate);
   return within + (1 - within) * terms_.over_share_benefit;
