--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -57,6 +57,7 @@
 constexpr double kSloUsed = 0.7;      // of the SLO time that an exchange may be expected to take
 constexpr double kLateIsFine = 0.5;   // of the benefit kept past the SLO time: that time then does not matter
 constexpr double kUnreadLong = 0.2;   // of the SLO time, spent before it was read: others queue unread
+constexpr double kUsual = 1.4;        // times its usual core time, and a server is slow for itself
 constexpr double kMuchDenied = 0.35;  // of what is read: more than uneven callers explain
 constexpr double kDeniedFine = 0.1;   // of what is read; with more denied, floor and weight keep more back
 constexpr double kPressMore = 0.05;
@@ -69,8 +70,8 @@
 constexpr double kSlowCalls = 3;    // times the best recent time: slow for all who call
 constexpr double kCallPlaces = 0.5;   // of the crowd's ceiling: the rest is left to what runs
 constexpr double kCallsBurst = 0.05;  // of our share over its window, saved up while few calls were made
-constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
 constexpr double kCallsDebt = 0.3;    // of the same, owed at most by a call that does not come back
+constexpr double kForget = 0.02;      // a second: how quickly the best call time is forgotten
 constexpr double kSilence = 16;       // stalled when no run moves for this many core times over the runs, and
 constexpr double kSilenceLeast = 2;   // for this many more: what still runs is the longer part of it
 constexpr double kSilentSlo = 0.4;    // and the quiet lasts this part of the shortest SLO time
@@ -83,9 +84,11 @@
 constexpr Nanos kBeat = 25 * kMs;
 constexpr Nanos kRecent = 4 * kSecond;
 constexpr Nanos kCallRecent = kSecond;
-constexpr double kCallKnown = 0.5;              // samples that the call time last known weighs
-constexpr Nanos kSickRecent = 3 * kSecond;      // over which failed runs count
-constexpr Nanos kCustomerRecent = 2 * kSecond;  // over which customers are counted
+constexpr double kCallKnown = 0.5;          // samples that the call time last known weighs
+constexpr Nanos kSickRecent = 3 * kSecond;  // over which failed runs count
+constexpr Nanos kSlowRecent =
+    2 * kSecond;  // over which a server is compared with itself, and customers counted
+constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
 constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where a caller
 constexpr double kIdleReuse = 8;     // comes back within this many seconds,
@@ -151,7 +154,7 @@
     for (const EndpointGroup& group : terms_.groups) shortest_slo_ = std::min(shortest_slo_, group.slo_time);
     calls_over_ = std::max(kSecond, terms_.calls_window);
     rows_.resize(terms_.groups.size());
-    customer_rate_.assign(terms_.customers.size(), DecayingSum(kCustomerRecent));
+    customer_rate_.assign(terms_.customers.size(), DecayingSum(kSlowRecent));
   }
 
   // Inputs.
@@ -297,11 +300,12 @@
   bool may_call();
   bool can_start(const Exchange& ex) const;
   double memory() const { return memory_kb_ + terms_.key_kb * static_cast<double>(keys_.size()); }
-  // Serving and still denying much, this server is taken for one of many that are short: a denial is then
-  // best passed to the client at once, as every further try costs another server its reading. Harm: where
-  // callers crowd that much on some servers while others idle.
+  // As quick as usual and still denying much, this server is taken for one of many that are short: a denial
+  // is then best passed to the client at once, as every further try costs another server its reading. Harm:
+  // where callers crowd that much on some servers while others idle.
   bool fleet_short() const {
-    return mode_ == Mode::kServing && denied_.read(now_) > kMuchDenied * read_.read(now_);
+    bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
+    return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
   }
   bool needs_call(const Exchange& ex) const {
     return ex.group->makes_calls && terms_.has_dependency && ex.group->skip_benefit <= 0;
@@ -360,6 +364,8 @@
   std::vector<GroupRow> rows_;
   std::vector<DecayingSum> customer_rate_;
   DecayingMean core_time_;
+  DecayingMean pace_time_{kSlowRecent};  // core time as if nothing but runs shared the cores
+  DecayingMean usual_time_{kUsualOver};  // the same, over long
   DecayingMean call_time_{kCallRecent};
   DecayingMean call_base_;
   double known_call_ = kCallGuess;  // what it was when a call last ended
@@ -506,6 +512,9 @@
       rows_[row_of(ex)].run_time.add(seconds(now_ - ex.started), now_);
       rows_[row_of(ex)].calls.add(ex.calls, now_);
       core_time_.add(spent, now_);
+      double alone = spent * std::min(1.0, terms_.cores / std::max(1.0, crowd_.mean(terms_.cores, now_)));
+      pace_time_.add(alone, now_);
+      usual_time_.add(alone, now_);
     }
   }
   apply(ex, Input::kDone);
@@ -769,7 +778,7 @@
 double Controller::Core::customer_factor(const Exchange& ex) const {
   if (!ex.customer || ex.customer->quota_per_s <= 0) return 1;
   double quota = ex.customer->quota_per_s / terms_.servers;
-  double over = seconds(kCustomerRecent);
+  double over = seconds(kSlowRecent);
   double rate = (customer_rate_[customer_of(ex)].read(now_) + kQuotaGuess) / (over + kQuotaGuess / quota);
   double within = std::min(1.0, quota / rate);
   return within + (1 - within) * terms_.over_share_benefit;
