--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -313,7 +313,7 @@
   bool dependency_slow(const Exchange& ex) const {
     return ex.group->makes_calls && terms_.has_dependency && call_time() > kSlowCalls * quick_call_;
   }
-  Nanos stay_away(const Exchange& ex);
+  Nanos stay_away();
 
   // Upkeep.
   void late(Exchange& ex);
@@ -574,7 +574,7 @@
 void Controller::Core::deny(Exchange& ex) {
   denied_.add(1, now_);
   leave_hold(ex);
-  host_.deny(ex, fleet_short() || dependency_slow(ex), stay_away(ex));
+  host_.deny(ex, fleet_short() || dependency_slow(ex), stay_away());
 }
 
 void Controller::Core::run(Exchange& ex) {
@@ -831,11 +831,10 @@
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
-// The wait in the hold and, before it was read, that of the one denied. Spread by chance, so that those sent
-// away together don't come back together.
-Nanos Controller::Core::stay_away(const Exchange& ex) {
+// Spread by chance, so that those sent away together don't come back together.
+Nanos Controller::Core::stay_away() {
   if (mode_ != Mode::kServing) return terms_.longest_pause;
-  double wait = static_cast<double>(held_.size()) / pace() + seconds(ex.admitted - ex.arrived);
+  double wait = static_cast<double>(held_.size()) / pace();
   double part = std::uniform_real_distribution<double>(0.3, 0.7)(random_);
   return std::min(terms_.longest_pause, static_cast<Nanos>(part * wait * static_cast<double>(kSecond)));
 }
