--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -12,13 +12,11 @@
 //   2. out of time: what can no longer meet its SLO time, on arrival, at the front or waiting for a slow
 //      dependency, gives way to the others.
 //   3. modes: a server whose work stands still or fails denies, reports it, and comes back by trial runs.
-//   4. call pacing: calls below are paid by the time they take, out of a share of the dependency that is
-//   smaller
-//      while they are slow; each may be out for so long; some may be skipped.
+//   4. call pacing: calls below are paid by the time they take, out of a share that is smaller while they are
+//      slow; each may be out for so long; some may be skipped.
 //   5. advice: denials say how long to stay away, and the free value says how much is welcome.
 //   6. connections: idle ones are closed the sooner the more are open and the rarer a caller returns, and
-//   kept
-//      in a storm of tries.
+//      kept in a storm of tries.
 // The guards that the four rules ask for (due times, keys, memory, crowd, drain) stand with the inputs.
 #include <algorithm>
 #include <array>
