Read over: one check for a place at calls, one crowd, one conversion to whole times

The check for a place stood in can_start and no_call_place, the crowd on the cores in three places, seconds to whole times in two, and tests set the share of calls over one another. A time set when a call is waited for was never read. The comment at pump_calls speaks of the account.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -84,8 +84,7 @@
 constexpr Nanos kCallRecent = kSecond;
 constexpr double kCallKnown = 0.5;          // samples that the call time last known weighs
 constexpr Nanos kSickRecent = 3 * kSecond;  // over which failed runs count
-constexpr Nanos kSlowRecent =
-    2 * kSecond;  // over which a server is compared with itself, and customers counted
+constexpr Nanos kSlowRecent = 2 * kSecond;  // for customers, and for a server beside what is usual
 constexpr Nanos kUsualOver = 60 * kSecond;  // over which it learns what is usual
 constexpr Nanos kAdvertiseEvery = 250 * kMs;
 constexpr double kIdlePerCore = 16;  // connections without an exchange in hand, for each core, where a caller
@@ -132,6 +131,7 @@
 };
 
 double seconds(Nanos t) { return static_cast<double>(t) / static_cast<double>(kSecond); }
+Nanos nanos(double s) { return static_cast<Nanos>(s * static_cast<double>(kSecond)); }
 
 enum class Mode { kServing, kStalled, kTrial, kLeaving };
 const char* name_of(Mode mode) {
@@ -266,6 +266,7 @@
   Nanos key_lifetime(const Exchange& ex) const;
   Nanos lead() const { return kBeat + 2 * terms_.tick; }
   double warm_share() const;
+  double cores_crowd() const { return crowd_.mean(terms_.cores, now_); }  // all that wants a core
   double ceiling() const;
   double core_time(std::size_t row) const;
   double core_time() const { return core_time_.mean(core_time_guess(0), now_); }
@@ -305,11 +306,11 @@
     bool much = denied_.read(now_) > kMuchDenied * read_.read(now_);
     return mode_ == Mode::kServing && much && pace_time_.mean(0, now_) < kUsual * usual_time_.mean(0, now_);
   }
-  bool needs_call(const Exchange& ex) const {
-    return ex.group->makes_calls && terms_.has_dependency && ex.group->skip_benefit <= 0;
-  }
+  bool calls_below(const Exchange& ex) const { return ex.group->makes_calls && terms_.has_dependency; }
+  bool needs_call(const Exchange& ex) const { return calls_below(ex) && ex.group->skip_benefit <= 0; }
+  bool lacks_place(const Exchange& ex) const { return needs_call(ex) && in_calls() >= call_places(); }
   bool dependency_slow(const Exchange& ex) const {
-    return ex.group->makes_calls && terms_.has_dependency && call_time() > kSlowCalls * quick_call_;
+    return calls_below(ex) && call_time() > kSlowCalls * quick_call_;
   }
   Nanos stay_away();
 
@@ -510,7 +511,7 @@
       rows_[row_of(ex)].run_time.add(seconds(now_ - ex.started), now_);
       rows_[row_of(ex)].calls.add(ex.calls, now_);
       core_time_.add(spent, now_);
-      double alone = spent * std::min(1.0, terms_.cores / std::max(1.0, crowd_.mean(terms_.cores, now_)));
+      double alone = spent * std::min(1.0, terms_.cores / std::max(1.0, cores_crowd()));
       pace_time_.add(alone, now_);
       usual_time_.add(alone, now_);
     }
@@ -587,7 +588,6 @@
 
 void Controller::Core::wait_to_call(Exchange& ex) {
   off_core(ex);
-  ex.since = now_;
   ++ex.calls;
   to_call_.push_back(&ex);
 }
@@ -596,9 +596,8 @@
   std::erase(to_call_, &ex);
   ex.call_out = true;
   ex.since = now_;
-  auto longest = static_cast<Nanos>(longest_call() * static_cast<double>(kSecond));
-  calls_out_.push_back(&ex);
-  host_.call(ex, std::max(kMs, std::min(ex.due - now_, longest)));
+  host_.call(ex, std::max(kMs, std::min(ex.due - now_, nanos(longest_call()))));
+  calls_out_.push_back(&ex);  // after its longest time was taken, which counts it as one more
 }
 
 void Controller::Core::skip(Exchange& ex) {
@@ -690,7 +689,7 @@
 // With all places at calls taken and the dependency slow, one that needs a call would keep those behind it
 // from idle cores. Harm: one denied just before a place comes free.
 bool Controller::Core::no_call_place(const Exchange& ex) const {
-  if (!needs_call(ex) || in_calls() < call_places()) return false;
+  if (!lacks_place(ex)) return false;
   return call_places() == 0 || (held_.size() > 1 && dependency_slow(ex));
 }
 
@@ -825,7 +824,7 @@
 bool Controller::Core::can_start(const Exchange& ex) const {
   if (mode_ == Mode::kStalled || on_core_ + 1 > (mode_ == Mode::kTrial ? kTrialRuns : limit_)) return false;
   if (on_core_ + in_calls() + 1 > ceiling()) return false;
-  if (needs_call(ex) && in_calls() >= call_places()) return false;
+  if (lacks_place(ex)) return false;
   return memory() + ex.held_kb * terms_.run_factor <= kRunMemory * terms_.memory_kb;
 }
 
@@ -834,7 +833,7 @@
   if (mode_ != Mode::kServing) return terms_.longest_pause;
   double wait = static_cast<double>(held_.size()) / pace();
   double part = std::uniform_real_distribution<double>(0.3, 0.7)(random_);
-  return std::min(terms_.longest_pause, static_cast<Nanos>(part * wait * static_cast<double>(kSecond)));
+  return std::min(terms_.longest_pause, nanos(part * wait));
 }
 
 // ---- Upkeep
@@ -927,10 +926,11 @@
   return call_credit_ >= 0 && calls_held() + 1 <= std::max(1.0, calls_target());
 }
 
-// Calls go out at the rate that keeps our share of the dependency busy but not crowded, by their recent time,
-// dearest first. A slow dependency thus holds back only what calls it: what may do without goes on once its
-// wait would cost it the SLO time or the places are taken, and what is past its SLO time gives up its place.
-// A lost call of what must not happen twice ends the exchange.
+// Calls go out, dearest first, as the time they take is paid for: the account grows with a share that follows
+// their recent time, so that the dependency is busy but not crowded. A slow dependency thus holds back only
+// what calls it: what may do without goes on once its wait would cost it the SLO time or the places are
+// taken, and what is past its SLO time gives up its place. A lost call of what must not happen twice ends the
+// exchange.
 void Controller::Core::pump_calls() {
   double passed = seconds(now_ - credited_);
   quick_call_ = std::min(call_base_.mean(known_call_, now_), quick_call_ * (1 + kForget * passed));
@@ -958,7 +958,7 @@
 
 void Controller::Core::follow_gauges(const Gauges& gauges) {
   if (gauges.on_cores) crowd_.add(*gauges.on_cores, now_);
-  double crowd = crowd_.mean(terms_.cores, now_);
+  double crowd = cores_crowd();
   bool idle =
       gauges.core_use ? *gauges.core_use < kBusy && crowd < kRoomy * terms_.cores : crowd < terms_.cores;
   if (!held_.empty() && on_core_ + 1 > limit_ && idle) limit_ += kGrowth;
@@ -990,7 +990,7 @@
   double returns = kIdleReuse * read_.read(now_) / seconds(kRecent) / terms_.callers;
   double most = terms_.cores * (kIdleFew + (kIdlePerCore - kIdleFew) * std::min(1.0, returns));
   bool busy = gauges.core_use.value_or(1) > kBusy;
-  bool stormed = busy && crowd_.mean(terms_.cores, now_) - on_core_ > kDoorCrowd * terms_.cores;
+  bool stormed = busy && cores_crowd() - on_core_ > kDoorCrowd * terms_.cores;
   double factor = stormed ? kIdleStorm : idle > most ? kIdleSooner : idle < most / 2 ? kIdleLater : 1;
   Nanos limit = static_cast<Nanos>(factor * static_cast<double>(idle_limit_));
   limit = std::clamp(limit, kIdleLeast, std::max(kIdleLeast, terms_.longest_idle));
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -12,6 +12,12 @@
   return terms;
 }
 
+// A server with another share of the dependency.
+ServiceTerms sharing(double calls_share, ServiceTerms terms = two_core_terms()) {
+  terms.calls_share = calls_share;
+  return terms;
+}
+
 TEST(Window, DeniesBeyondFourTimesTheCoresAndStartsInArrivalOrder) {
   FakeHost host(window_only());
   host.read_many(2 + 8);
@@ -195,9 +201,7 @@
 }
 
 TEST(Calls, OneWithoutAPlaceDoesNotKeepOthersFromIdleCores) {
-  ServiceTerms terms = window_only();
-  terms.calls_share = 1;
-  FakeHost host(terms);
+  FakeHost host(sharing(1, window_only()));
   host.serve_calls(10, 25 * kMs);
   host.serve_calls(10, kSecond);
   for (int i = 0; i < 5; ++i) host.controller.reached_call(host.read(kCallerGroup), host.now);
@@ -212,9 +216,7 @@
 }
 
 TEST(Calls, WhatWaitsForASlowDependencyPastItsSloTimeGivesUpItsPlace) {
-  ServiceTerms terms = two_core_terms();
-  terms.calls_share = 1;
-  FakeHost host(terms);
+  FakeHost host(sharing(1));
   host.serve_calls(10, 25 * kMs);
   host.serve_calls(3, kSecond);
   Exchange& called = host.read(kCallerGroup);
@@ -236,15 +238,8 @@
   EXPECT_EQ(host.last_of(skipper), "skip");
 }
 
-// A server's share of the dependency where hundreds have one each.
-ServiceTerms small_share() {
-  ServiceTerms terms = two_core_terms();
-  terms.calls_share = 0.4;
-  return terms;
-}
-
 TEST(Calls, OneIsOutNoLongerThanASmallShareAllows) {
-  FakeHost host(small_share());
+  FakeHost host(sharing(0.4));
   host.controller.reached_call(host.read(kSkipperGroup), host.now);
   EXPECT_EQ(host.count("call"), 1);
   EXPECT_LE(host.longest_call, 1 * kSecond) << "0.4 calls over 5 s are 2 s of calls, for all that is begun";
@@ -252,9 +247,7 @@
 }
 
 TEST(Calls, WithNoShareAtAllWhatNeedsACallIsDeniedAndTheRestGoesOnWithout) {
-  ServiceTerms terms = small_share();
-  terms.calls_share = 0;
-  FakeHost host(terms);
+  FakeHost host(sharing(0));
   EXPECT_EQ(host.last_of(host.read(kCallerGroup)), "deny");
   Exchange& skipper = host.read(kSkipperGroup);
   host.controller.reached_call(skipper, host.now);
@@ -262,9 +255,7 @@
 }
 
 TEST(Calls, ATinyShareStillLetsQuickOnesOut) {
-  ServiceTerms terms = small_share();
-  terms.calls_share = 0.02;
-  FakeHost host(terms);
+  FakeHost host(sharing(0.02));
   for (int i = 0; i < 3; ++i) {
     Exchange& ex = host.read(kCallerGroup);
     host.controller.reached_call(ex, host.now);
@@ -276,7 +267,7 @@
 }
 
 TEST(Calls, AfterOnesGivenUpOnTheyGoOutAgain) {
-  FakeHost host(small_share());
+  FakeHost host(sharing(0.4));
   for (int i = 0; i < 3; ++i) {
     Exchange& lost = host.read(kSkipperGroup);
     host.controller.reached_call(lost, host.now);
@@ -292,7 +283,7 @@
 }
 
 TEST(Calls, ASlowTimeIsNotForgottenWhileNoneIsMade) {
-  FakeHost host(small_share());
+  FakeHost host(sharing(0.4));
   host.serve_calls(20, 25 * kMs);
   host.serve_calls(4, 400 * kMs);
   host.pass(10 * kSecond);
