The whole program as a story: serves, drains and ends by itself; the last answer before a close

A request that asked not to keep its connection closed it for writing under others still open on it (Front::Desk::answered); a stamp at the edge of 64 bits overflowed (Front::exchange_of). Both found by reading.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -112,8 +112,9 @@
   void answered(Call& call, const service::FinalAnswer& answer) {
     call.ex = nullptr;
     connection_.write(answer_records(call.id, output_of(answer), ProtocolStatus::kComplete));
-    if (!call.keep) connection_.part(Reason::kDone);
+    last_ |= !call.keep;
     calls_.erase(call.id);
+    if (last_ && calls_.empty()) connection_.part(Reason::kDone);
     front_.place(*this);
   }
 
@@ -129,6 +130,7 @@
   CgiReader reader_;
   std::map<std::uint16_t, std::unique_ptr<Call>> calls_;
   bool left_over_ = false;
+  bool last_ = false;  // a request asked not to keep the connection
 };
 
 void Front::Call::answer(const service::FinalAnswer& answer) { desk.answered(*this, answer); }
@@ -169,13 +171,13 @@
     if (customer.name == request.field("HTTP_PROJECT")) ex->customer = &customer;
   }
   std::int64_t stamp = Loop::unix_now();
-  bool good = ex->group && read_number(request.field("HTTP_ACCEPTED_AT_MS"), accepted) &&
+  bool good = ex->group && read_number(request.field("HTTP_ACCEPTED_AT_MS"), accepted) && accepted > 0 &&
               std::abs(accepted - stamp / kMs) < kClocksApart &&
               read_number(request.field("HTTP_RESERVE_KB"), ex->held_kb) && ex->held_kb > 0 &&
               std::isfinite(ex->held_kb);
   if (!good) return nullptr;
   if (std::string_view wait = request.field("HTTP_MAX_WAIT_MS"); !wait.empty()) {
-    if (!read_number(wait, longest) || std::abs(longest) > kClocksApart) return nullptr;
+    if (!read_number(wait, longest) || longest < -kClocksApart || longest > kClocksApart) return nullptr;
   }
   if (read_number(request.field("HTTP_EXPECTED_MS"), hint) && hint > 0 && hint < 1e9) {
     ex->work_hint = static_cast<Nanos>(hint * 1e6);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,8 +4,14 @@
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
 #include "fakes.h"
 #include "net/database.h"
 #include "net/engine_link.h"
@@ -331,5 +337,110 @@
   EXPECT_TRUE(logged("database connection ended: refused"));
 }
 
+// ---- The whole program
+
+// One server in a process of its own; the story is its engine, its membership service and its balancer.
+struct ProgramStory : testing::Test {
+  ProgramStory() {
+    members = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+    sockaddr_in address = at_port(0);
+    socklen_t size = sizeof address;
+    ::bind(members, reinterpret_cast<sockaddr*>(&address), size);
+    ::getsockname(members, reinterpret_cast<sockaddr*>(&address), &size);
+    auto at = [](int there) { return "\"127.0.0.1:" + std::to_string(there) + "\""; };
+    char path[] = "/tmp/myrtlecroft-XXXXXX";
+    ::close(mkstemp(path));
+    config = path;
+    std::ofstream(config)
+        << R"({"name":"n7","seed":"a1","stop_ms":1500,"limits":{"memory_mb":64},"listen":)" << at(port)
+        << ",\"engine\":" << at(listener.listen()) << ",\"db\":" << at(free_port())
+        << ",\"members\":" << at(ntohs(address.sin_port))
+        << R"(,"settings":{"classes":[{"name":"read","effect":"idempotent","gain":1,"goalTimeNs":2000000000,)"
+        << R"("hardLimitNs":5000000000}],"familyInfo":{"nCores":2,"ramKb":50000,"meters":["core_use"]},)"
+        << R"("limits":{},"rules":{"overloadFactor":5,"overloadForNs":1000000000,"drainGraceNs":200000000}}})";
+  }
+  ~ProgramStory() override {
+    if (process > 0) kill(process, SIGKILL), waitpid(process, nullptr, 0);
+    ::close(members);
+    std::remove(config.c_str());
+  }
+  void start() {
+    process = fork();
+    if (process > 0) return;
+    int nowhere = open("/dev/null", O_WRONLY);
+    dup2(nowhere, 1), dup2(nowhere, 2);
+    setenv("LB_CONFIG", config.c_str(), 1);
+    execl(MYRTLECROFT_PROGRAM, MYRTLECROFT_PROGRAM, nullptr);
+    _exit(127);
+  }
+  static bool until(const std::function<bool()>& holds) {
+    for (int i = 0; i < 3000 && !holds(); ++i) usleep(1000);
+    return holds();
+  }
+  static bool comes(Plain& peer, const std::string& part) {
+    std::string all;
+    bool found = false;
+    return until([&] { return found = found || (all += peer.read()).find(part) != std::string::npos; });
+  }
+  bool reported(const std::string& line) {
+    char bytes[64];
+    ssize_t got = ::recv(members, bytes, sizeof bytes, 0);
+    return got > 0 && std::string(bytes, static_cast<std::size_t>(got)) == line;
+  }
+  int exit_code() {
+    int status = -1;
+    bool over = false;
+    until([&] { return over = over || waitpid(process, &status, WNOHANG) == process; });
+    if (over) process = 0;
+    return over && WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  int port = free_port();
+  int members;
+  pid_t process = 0;
+  std::string config;
+  Plain listener;
+};
+
+TEST_F(ProgramStory, ServesThenDrainsAndEndsByItself) {
+  start();
+  int socket = -1;
+  ASSERT_TRUE(until([&] { return socket >= 0 || (socket = listener.accept()) >= 0; }));
+  Plain engine(socket);
+  ASSERT_TRUE(comes(engine, "ATTACH"));
+  engine.write("{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":1}\n");
+  ASSERT_TRUE(comes(engine, "{\"cmd\":\"STAT\",\"token\":\"1\"}"));
+  engine.write("{\"cmd\":\"STATS\",\"token\":\"1\",\"load\":[0.5]}\n");
+  bool up = false;
+  EXPECT_TRUE(until([&] { return up = up || reported("HB n7 UP"); }));
+  Plain peer;
+  peer.connect(port);
+  usleep(20'000);
+  const std::string id = "00000000000000aa";
+  peer.write(FrontStory::request(1, "/-/healthy", ""));
+  EXPECT_TRUE(comes(peer, "Status: 200"));
+  peer.write(FrontStory::request(2, "/api/v2/read", id));
+  EXPECT_TRUE(
+      comes(engine, R"({"cmd":"RUN","req":"00000000000000aa","method":"read","payload":"Ym9keQ=="})"));
+  kill(process, SIGTERM);
+  bool out = false;
+  EXPECT_TRUE(until([&] { return out = out || reported("HB n7 OUT"); }));
+  usleep(300'000);
+  peer.write(FrontStory::request(3, "/api/v2/read", "00000000000000bb"));
+  EXPECT_TRUE(comes(peer, "Status: 503"));
+  engine.write(R"({"cmd":"DONE","offset":1,"req":"00000000000000aa","result":"success","payload":"QUJD"})"
+               "\n");
+  EXPECT_TRUE(comes(peer, "\r\n\r\nABC"));
+  EXPECT_TRUE(comes(peer, "(end)"));
+  peer.close();
+  EXPECT_EQ(exit_code(), 0);
+}
+
+TEST_F(ProgramStory, AConfigThatMakesNoSenseEndsTheStartWithOne) {
+  std::ofstream(config) << "{\"name\":\"n7\"}";
+  start();
+  EXPECT_EQ(exit_code(), 1);
+}
+
 }  // namespace
 }  // namespace myrtlecroft::net
