A run in doubt whose caller left gives its core back

Found by reading, shown by a story: a run that may not have reached the engine over a break, and that nobody waits for any more, kept its place on the cores for good (Service::caller_gone, EngineSession::settle).

--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -110,7 +110,11 @@
     } else if (ex->in_doubt) {
       bool harmless =
           ex->order == Order::kSkip || (ex->order == Order::kRun && ex->group->effect == Effect::kRepeatable);
-      if (harmless) send(*ex);
+      if (harmless) {
+        send(*ex);
+      } else if (ex->answered && ex->order == Order::kRun) {  // nobody waits for it to end or fall due
+        events_.run_ended(*ex, Outcome::kFailed, "");
+      }
     }
   }
 }
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -90,7 +90,7 @@
     ex.asker = nullptr;
     --unanswered_;
     controller_->caller_gone(ex, now_);
-    if (ex.phase == Phase::kAbandoned) give_up_call(ex);
+    abandon(ex);
   });
 }
 
@@ -284,10 +284,14 @@
   answer(own(ex), {.kind = Answer::kDenied, .not_elsewhere = not_elsewhere, .stay_away = stay_away});
 }
 
-// A run that may never have reached the engine would leave its place taken for good.
-void Service::terminate(Exchange& given) {
-  ServerExchange& ex = own(given);
-  answer(ex, {.kind = Answer::kTerminated});
+void Service::terminate(Exchange& ex) {
+  answer(own(ex), {.kind = Answer::kTerminated});
+  abandon(own(ex));
+}
+
+// Its work goes on unwanted. A run that may never have reached the engine would keep its place for good.
+void Service::abandon(ServerExchange& ex) {
+  if (ex.phase != Phase::kAbandoned) return;
   give_up_call(ex);
   if (ex.in_doubt && ex.order == Order::kRun) later_.push_back({&ex, Outcome::kFailed});
 }
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -82,6 +82,7 @@
   void fail_waiters(KeyEntry& entry);
   void drop(KeyEntry& entry);
   void give_up_call(ServerExchange& ex);
+  void abandon(ServerExchange& ex);
   void end_call(ServerExchange& ex, Outcome outcome);
   void end_calls_due();
   void finish_when_empty();
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -190,6 +190,20 @@
   EXPECT_EQ(world.count("run d"), 1);
 }
 
+TEST(Link, ARunInDoubtWhoseCallerLeftGivesItsCoreBack) {
+  FakeWorld world;
+  world.engine_up();
+  Caller& before = world.read("a", kWriteGroup, "key");
+  Caller& after = world.read("b", kWriteGroup, "other");
+  world.service.caller_gone(*before.ex);
+  world.relink();
+  world.service.caller_gone(*after.ex);
+  world.read("c"), world.read("d");
+  EXPECT_EQ(world.count("run c"), 1);
+  EXPECT_EQ(world.count("run d"), 1);
+  EXPECT_EQ(world.read("e", kWriteGroup, "key").only(), "terminated");
+}
+
 TEST(Link, TheBacklogEndsRunsAndIsTakenOnce) {
   FakeWorld world;
   world.engine_up();
