What is called below may leave more unread than a balancer

After a long break the orders of a large server could pass the bound meant for balancers and end the new link again (Connection::write). Found by reading.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -14,8 +14,10 @@
 namespace myrtlecroft::net {
 namespace {
 
-constexpr std::size_t kMostUnread = std::size_t{1} << 18;  // bytes that a peer may leave unread
-constexpr std::size_t kKeptBuffer = 4096;                  // an empty buffer larger than this is let go
+// Bytes that a peer may leave unread: one that comes to us, and one that we depend on.
+constexpr std::size_t kMostUnread = std::size_t{1} << 18;
+constexpr std::size_t kMostUnreadBelow = std::size_t{1} << 23;
+constexpr std::size_t kKeptBuffer = 4096;  // an empty buffer larger than this is let go
 constexpr std::size_t kReadAtOnce = 65'536;
 constexpr Nanos kFlushing = 1'000'000'000;  // at most, for a peer that does not read
 constexpr Nanos kParting = 100'000'000;
@@ -71,7 +73,9 @@
 
 Connection::Connection(event_base* base, evutil_socket_t accepted, ConnectionOwner& owner,
                        service::LogPort& log, std::string what)
-    : owner_(owner), log_(log), what_(std::move(what)), end_alarm_(base, [this] { count_end(); }) {
+    : owner_(owner), log_(log), what_(std::move(what)), most_unread_(kMostUnread), end_alarm_(base, [this] {
+        count_end();
+      }) {
   set_up(base, accepted);
   open_ = true;
   int yes = 1;
@@ -80,7 +84,11 @@
 
 Connection::Connection(event_base* base, const sockaddr_in& to, ConnectionOwner& owner, service::LogPort& log,
                        std::string what)
-    : owner_(owner), log_(log), what_(std::move(what)), end_alarm_(base, [this] { count_end(); }) {
+    : owner_(owner),
+      log_(log),
+      what_(std::move(what)),
+      most_unread_(kMostUnreadBelow),
+      end_alarm_(base, [this] { count_end(); }) {
   set_up(base, -1);
   if (bufferevent_socket_connect(events_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
     end(reason_of(errno, false));
@@ -101,7 +109,7 @@
   if (ending_) return;
   bytes_out_ += bytes.size();
   bufferevent_write(events_, bytes.data(), bytes.size());
-  if (evbuffer_get_length(bufferevent_get_output(events_)) > kMostUnread) end(Reason::kUnread);
+  if (evbuffer_get_length(bufferevent_get_output(events_)) > most_unread_) end(Reason::kUnread);
 }
 
 void Connection::end(Reason reason) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -87,6 +87,7 @@
   std::string what_;
   bufferevent* events_ = nullptr;
   InputBuffer input_;
+  std::size_t most_unread_;
   Alarm end_alarm_;
   Reason reason_ = Reason::kDone;
   bool open_ = false;
