--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -16,6 +16,7 @@
 #include "net/database.h"
 #include "net/engine_link.h"
 #include "net/front.h"
+#include "net/log.h"
 
 namespace myrtlecroft::net {
 namespace {
@@ -55,6 +56,9 @@
   void write(const std::string& bytes) {
     EXPECT_EQ(::write(socket_, bytes.data(), bytes.size()), ssize_t(bytes.size()));
   }
+  void offer(const std::string& bytes) {
+    if (::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) return;
+  }
   // What has come since the last look; "(end)" once the peer has closed.
   std::string read() {
     char bytes[65'536];
@@ -230,6 +234,16 @@
   EXPECT_TRUE(comes(peer, "(end)"));
 }
 
+TEST_F(FrontStory, APeerThatReadsNothingIsLetGo) {
+  Plain peer = connected();
+  std::string ask;
+  for (int i = 0; i < 500; ++i) ask += record(77, 0, "");
+  EXPECT_TRUE(until([&] {
+    peer.offer(ask);
+    return logged("ended: unread");
+  }));
+}
+
 TEST_F(FrontStory, OutOfDescriptorsItWaitsAndThenAcceptsAgain) {
   std::vector<Plain> waiting;
   for (int i = 0; i < 8; ++i) waiting.emplace_back();
@@ -275,6 +289,43 @@
   EXPECT_TRUE(until([&] { return session.last_notice() == 6; }));
 }
 
+TEST_F(NetStory, AnEngineLineTooLongToKeepIsLeftOutAndTheNextIsRead) {
+  Plain listener;
+  EngineLink link(loop, *this, at_port(listener.listen()));
+  service::EngineSession session(link, world.service);
+  link.begin(session);
+  int socket = -1;
+  ASSERT_TRUE(until([&] { return (socket = listener.accept()) >= 0; }));
+  Plain engine(socket);
+  EXPECT_TRUE(comes(engine, "ATTACH"));
+  std::string part(100'000, 'x');
+  engine.write("{\"cmd\":\"NOTE\",\"offset\":1,\"result\":\"");
+  for (int i = 0; i < 12; ++i) {
+    engine.write(part);
+    turn(5 * kMs);
+  }
+  EXPECT_TRUE(logged("too long"));
+  engine.write("\"}\n{\"cmd\":\"NOTE\",\"offset\":2}\n");
+  EXPECT_TRUE(until([&] { return session.last_notice() == 2; }));
+}
+
+// ---- Log
+
+TEST_F(NetStory, AStormOfLinesIsCutAndCrowdsOutNoOther) {
+  testing::internal::CaptureStdout();
+  {
+    Log log(world);
+    for (int i = 0; i < 1000; ++i) log.frequent("storm");
+    log.line("serving -> stalled");
+    world.time += kSecond;
+    log.frequent("storm");
+  }
+  std::string out = testing::internal::GetCapturedStdout();
+  EXPECT_LT(std::count(out.begin(), out.end(), '\n'), 300);
+  EXPECT_NE(out.find("serving -> stalled"), std::string::npos);
+  EXPECT_NE(out.find("800 lines left out"), std::string::npos);
+}
+
 // ---- Database
 
 struct DatabaseStory : NetStory {
@@ -324,6 +375,21 @@
   EXPECT_TRUE(until([&] { return world.count("feed a new") == 1; }));
 }
 
+TEST_F(DatabaseStory, AConnectionClosedForIdlenessIsOpenedAnew) {
+  service::ServerExchange& one = calling("a");
+  database.call(one, "x", 250 * kMs);
+  Plain first = accept();
+  EXPECT_TRUE(comes(first, "Q a"));
+  first.write("a ROWS 1\r\nr\r\n");
+  EXPECT_TRUE(until([&] { return world.count("feed a r") == 1; }));
+  first.close();
+  EXPECT_TRUE(until([&] { return logged("database connection ended: peer-closed"); }));
+  service::ServerExchange& two = calling("b");
+  database.call(two, "y", 250 * kMs);
+  Plain second = accept();
+  EXPECT_TRUE(comes(second, "Q b"));
+}
+
 TEST_F(DatabaseStory, ARefusedConnectionProvesThatNothingRanAndABreakDoesNot) {
   service::ServerExchange& ex = calling("a");
   database.call(ex, "x", 250 * kMs);
