--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -336,14 +336,16 @@
   EXPECT_TRUE(until([&] { return world.count("run " + first) == 1; }));
 }
 
-TEST_F(NetStory, AnAlarmThatIsLateLetsTheSocketsGoFirst) {
-  int woken = 0;
-  loop.on_wake([&] { ++woken; });
+// What comes while the alarms of a turn ring is not yet known to the loop.
+TEST_F(FrontStory, AnAlarmThatIsLateLetsTheSocketsGoFirst) {
+  Plain peer = connected();
+  long ran = -1;
+  Alarm earlier(loop.base(), [&] { peer.write(request(1, "/api/v2/read", first)); });
+  loop.on_wake([&] { ran = world.count("run " + first); });
+  earlier.set(0);
   loop.wake_at(loop.now() - 100 * kMs);
-  usleep(1000);
-  event_base_loop(loop.base(), EVLOOP_NONBLOCK);
-  EXPECT_EQ(woken, 0);
-  EXPECT_TRUE(until([&] { return woken == 1; }));
+  EXPECT_TRUE(until([&] { return ran >= 0; }));
+  EXPECT_EQ(ran, 1);
 }
 
 // ---- Log
