--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -51,25 +51,26 @@
 }  // namespace
 
 // One request on a connection, from its last byte to its answer.
-struct Front::Call final : service::Asker {
-  Call(Desk& at, const CgiRequest& request) : desk(at), id(request.id), keep(request.keep_connection) {}
+struct Front::OpenRequest final : service::AnswerSink {
+  OpenRequest(BalancerConnection& at, const CgiRequest& request)
+      : peer(at), id(request.id), keep(request.keep_connection) {}
   void answer(const service::FinalAnswer& answer) override;  // destroys it
 
-  Desk& desk;
+  BalancerConnection& peer;
   std::uint16_t id;
   bool keep;
   service::ServerExchange* ex = nullptr;  // null for a health check
 };
 
 // One balancer's connection.
-class Front::Desk final : public ConnectionOwner, public CgiEvents {
+class Front::BalancerConnection final : public ConnectionOwner, public CgiEvents {
  public:
-  Desk(Front& front, evutil_socket_t socket, std::string what)
+  BalancerConnection(Front& front, evutil_socket_t socket, std::string what)
       : front_(front),
         connection_(front.loop_.base(), socket, *this, front.log_, std::move(what)),
         reader_(*this) {}
 
-  bool busy() const { return !calls_.empty(); }
+  bool busy() const { return !open_.empty(); }
   bool assembling() const { return reader_.assembling() || left_over_; }
   Connection& connection() { return connection_; }
 
@@ -83,75 +84,72 @@
   }
 
   void ended(Connection&, Reason) override {
-    std::map<std::uint16_t, std::unique_ptr<Call>> calls = std::move(calls_);
-    calls_.clear();
-    for (auto& [id, call] : calls) {
-      if (call->ex) {
-        front_.service_->caller_gone(*call->ex);
-      } else {
-        front_.service_->check_gone(*call);
-      }
-    }
+    std::map<std::uint16_t, std::unique_ptr<OpenRequest>> all = std::move(open_);
+    open_.clear();
+    for (auto& [id, open] : all) caller_gone(*open);
     front_.remove(*this);
   }
 
   void requested(CgiRequest request) override;
   void aborted(std::uint16_t id) override {
-    Call& call = *calls_.at(id);
-    if (call.ex) {
-      front_.service_->caller_gone(*call.ex);
+    OpenRequest& open = *open_.at(id);
+    caller_gone(open);
+    answered(open, {});
+  }
+  void caller_gone(OpenRequest& open) {
+    if (open.ex) {
+      front_.service_->caller_gone(*open.ex);
     } else {
-      front_.service_->check_gone(call);
+      front_.service_->check_gone(open);
     }
-    answered(call, {});
   }
-  bool in_hand(std::uint16_t id) const override { return calls_.contains(id); }
-  std::size_t count_in_hand() const override { return calls_.size(); }
+  bool in_hand(std::uint16_t id) const override { return open_.contains(id); }
+  std::size_t count_in_hand() const override { return open_.size(); }
   void reply(std::string_view bytes) override { connection_.write(bytes); }
 
-  void answered(Call& call, const service::FinalAnswer& answer) {
-    call.ex = nullptr;
-    connection_.write(answer_records(call.id, output_of(answer), ProtocolStatus::kComplete));
-    last_ |= !call.keep;
-    calls_.erase(call.id);
-    if (last_ && calls_.empty()) connection_.part(Reason::kDone);
+  void answered(OpenRequest& open, const service::FinalAnswer& answer) {
+    open.ex = nullptr;
+    connection_.write(answer_records(open.id, output_of(answer), ProtocolStatus::kComplete));
+    last_ |= !open.keep;
+    open_.erase(open.id);
+    if (last_ && open_.empty()) connection_.part(Reason::kDone);
     front_.place(*this);
   }
 
   // Where it stands among connections with nothing open.
-  std::list<Desk*>* in_list = nullptr;
-  std::list<Desk*>::iterator place;
-  std::list<std::unique_ptr<Desk>>::iterator own;
+  std::list<BalancerConnection*>* in_list = nullptr;
+  std::list<BalancerConnection*>::iterator place;
+  std::list<std::unique_ptr<BalancerConnection>>::iterator own;
   Nanos since = 0;
 
  private:
   Front& front_;
   Connection connection_;
   CgiReader reader_;
-  std::map<std::uint16_t, std::unique_ptr<Call>> calls_;
+  std::map<std::uint16_t, std::unique_ptr<OpenRequest>> open_;
   bool left_over_ = false;
   bool last_ = false;  // a request asked not to keep the connection
 };
 
-void Front::Call::answer(const service::FinalAnswer& answer) { desk.answered(*this, answer); }
+void Front::OpenRequest::answer(const service::FinalAnswer& answer) { peer.answered(*this, answer); }
 
-void Front::Desk::requested(CgiRequest request) {
-  Call& call = *calls_.emplace(request.id, std::make_unique<Call>(*this, request)).first->second;
+void Front::BalancerConnection::requested(CgiRequest request) {
+  OpenRequest& open = *open_.emplace(request.id, std::make_unique<OpenRequest>(*this, request)).first->second;
   std::string_view script = request.field("SCRIPT_NAME");
   if (script == kHealthPath) {
     std::string query = "&" + std::string(request.field("QUERY_STRING")) + "&";
-    front_.service_->check(call, query.find("&probe=1&") != std::string::npos);
+    front_.service_->check(open, query.find("&probe=1&") != std::string::npos);
     return;
   }
   std::unique_ptr<service::ServerExchange> ex = front_.exchange_of(request);
   if (!ex) {
     front_.log_.frequent("exchange malformed: path '" + std::string(script.substr(0, 60)) + "', id '" +
                          std::string(request.field("HTTP_TRACE_ID").substr(0, 20)) + "'");
-    answered(call, {});
+    answered(open, {});
     return;
   }
-  ex->asker = &call;
-  call.ex = ex.get();
+  ex->sink = &open;
+  open.ex = ex.get();
   front_.service_->read(std::move(ex));
 }
 
@@ -237,30 +235,31 @@
 }
 
 void Front::add(evutil_socket_t socket) {
-  auto own = desks_.insert(
-      desks_.end(), std::make_unique<Desk>(*this, socket, "balancer connection " + std::to_string(++count_)));
+  auto own = peers_.insert(
+      peers_.end(),
+      std::make_unique<BalancerConnection>(*this, socket, "balancer connection " + std::to_string(++count_)));
   (*own)->own = own;
   place(**own);
 }
 
-void Front::remove(Desk& desk) {
-  if (desk.in_list) desk.in_list->erase(desk.place);
-  desks_.erase(desk.own);
-  if (finishing_ && desks_.empty()) finish_.set(0);
+void Front::remove(BalancerConnection& peer) {
+  if (peer.in_list) peer.in_list->erase(peer.place);
+  peers_.erase(peer.own);
+  if (finishing_ && peers_.empty()) finish_.set(0);
 }
 
-void Front::place(Desk& desk) {
-  if (desk.in_list) desk.in_list->erase(desk.place);
-  desk.in_list = nullptr;
-  if (desk.busy() || desk.connection().parting()) return;
+void Front::place(BalancerConnection& peer) {
+  if (peer.in_list) peer.in_list->erase(peer.place);
+  peer.in_list = nullptr;
+  if (peer.busy() || peer.connection().parting()) return;
   // A request that waits to be read is read first: it came before our close.
-  if (finishing_ && !desk.assembling() && !desk.connection().unread()) {
-    desk.connection().part(Reason::kDrained);
+  if (finishing_ && !peer.assembling() && !peer.connection().unread()) {
+    peer.connection().part(Reason::kDrained);
     return;
   }
-  desk.in_list = desk.assembling() ? &begun_ : &idle_;
-  desk.place = desk.in_list->insert(desk.in_list->end(), &desk);
-  desk.since = loop_.now();
+  peer.in_list = peer.assembling() ? &begun_ : &idle_;
+  peer.place = peer.in_list->insert(peer.in_list->end(), &peer);
+  peer.since = loop_.now();
   if (!sweep_.is_set()) set_sweep();
 }
 
@@ -271,17 +270,17 @@
 
 void Front::sweep() {
   Nanos now = loop_.now();
-  auto close_older = [&](std::list<Desk*>& list, Nanos limit) {
+  auto close_older = [&](std::list<BalancerConnection*>& list, Nanos limit) {
     while (!list.empty() && now - list.front()->since >= limit) {
-      Desk& desk = *list.front();
-      if (desk.connection().unread()) {
-        desk.since = now;
-        list.splice(list.end(), list, desk.place);
+      BalancerConnection& peer = *list.front();
+      if (peer.connection().unread()) {
+        peer.since = now;
+        list.splice(list.end(), list, peer.place);
         continue;
       }
       list.pop_front();
-      desk.in_list = nullptr;
-      desk.connection().part(Reason::kIdle);
+      peer.in_list = nullptr;
+      peer.connection().part(Reason::kIdle);
     }
   };
   if (idle_limit_ > 0) close_older(idle_, idle_limit_);
@@ -308,10 +307,10 @@
   }
   accept_again_.clear();
   listener_.reset();
-  std::vector<Desk*> desks;
-  for (auto& desk : desks_) desks.push_back(desk.get());
-  for (Desk* desk : desks) place(*desk);
-  if (desks_.empty()) finish_.set(0);
+  std::vector<BalancerConnection*> peers;
+  for (auto& peer : peers_) peers.push_back(peer.get());
+  for (BalancerConnection* peer : peers) place(*peer);
+  if (peers_.empty()) finish_.set(0);
 }
 
 }  // namespace myrtlecroft::net
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -21,20 +21,20 @@
   ~Front() override;
   // `finished` is told once, after finish(), when no connection is left.
   void serve(service::Service& service, std::function<void()> finished);
-  std::size_t connections() const { return desks_.size(); }
+  std::size_t connections() const { return peers_.size(); }
 
   void close_idle(Nanos after) override;
   void finish() override;
 
  private:
-  class Desk;
-  struct Call;
+  class BalancerConnection;
+  struct OpenRequest;
 
   static void accepted(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
   static void accept_failed(evconnlistener*, void* self);
   void add(evutil_socket_t socket);
-  void remove(Desk& desk);
-  void place(Desk& desk);
+  void remove(BalancerConnection& peer);
+  void place(BalancerConnection& peer);
   void sweep();
   void set_sweep();
   std::unique_ptr<service::ServerExchange> exchange_of(CgiRequest& request) const;
@@ -51,10 +51,10 @@
   Alarm accept_again_;
   Alarm sweep_;
   Alarm finish_;
-  std::list<std::unique_ptr<Desk>> desks_;
-  std::list<Desk*> idle_;   // nothing open, longest idle first
-  std::list<Desk*> begun_;  // a request begun and none open, longest so first
-  Nanos idle_limit_ = 0;    // 0 = none
+  std::list<std::unique_ptr<BalancerConnection>> peers_;
+  std::list<BalancerConnection*> idle_;   // nothing open, longest idle first
+  std::list<BalancerConnection*> begun_;  // a request begun and none open, longest so first
+  Nanos idle_limit_ = 0;                  // 0 = none
   bool finishing_ = false;
   std::uint64_t count_ = 0;
 };
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -7,18 +7,18 @@
 void EngineSession::run(ServerExchange& ex) {
   runs_.push_back(&ex);
   by_id_.emplace(ex.id, &ex);
-  give(ex, Order::kRun);
+  give(ex, Command::kRun);
 }
 
 void EngineSession::feed(ServerExchange& ex, std::string reply) {
   ex.payload = std::move(reply);
-  give(ex, Order::kFeed);
+  give(ex, Command::kFeed);
 }
 
-void EngineSession::skip(ServerExchange& ex) { give(ex, Order::kSkip); }
+void EngineSession::skip(ServerExchange& ex) { give(ex, Command::kSkip); }
 
-void EngineSession::give(ServerExchange& ex, Order order) {
-  ex.order = order;
+void EngineSession::give(ServerExchange& ex, Command command) {
+  ex.command = command;
   ex.sent = false;
   if (settled_) send(ex);
 }
@@ -27,14 +27,14 @@
   ex.sent = true;
   ex.in_doubt = false;
   ex.sent_as = ++sent_;
-  switch (ex.order) {
-    case Order::kRun:
+  switch (ex.command) {
+    case Command::kRun:
       return link_.run(ex.id, ex.group->name, ex.body);
-    case Order::kFeed:
+    case Command::kFeed:
       return link_.feed(ex.id, ex.payload);
-    case Order::kSkip:
+    case Command::kSkip:
       return link_.skip(ex.id, ex.at_notice);
-    case Order::kNone:
+    case Command::kNone:
       return;
   }
 }
@@ -57,7 +57,7 @@
   settled_ = false;
   fence_ = 0;
   for (ServerExchange* ex : runs_) {
-    ex->in_doubt |= ex->order != Order::kNone && ex->sent && ex->sent_as > confirmed_;
+    ex->in_doubt |= ex->command != Command::kNone && ex->sent && ex->sent_as > confirmed_;
   }
   if (std::exchange(testing_, 0)) events_.tested(false);
 }
@@ -74,7 +74,7 @@
   auto place = by_id_.find(notice.id);
   if (notice.kind == Notice::Kind::kNote || place == by_id_.end()) return;
   ServerExchange& ex = *place->second;
-  ex.order = Order::kNone;
+  ex.command = Command::kNone;
   ex.in_doubt = false;
   if (notice.kind == Notice::Kind::kNeed) {
     ex.at_notice = notice.number;
@@ -102,17 +102,17 @@
   settled_ = true;
   std::vector<ServerExchange*> runs = runs_;
   for (ServerExchange* ex : runs) {
-    if (ex->order == Order::kNone) continue;
-    if (!ex->sent && ex->order == Order::kRun && ex->answered) {
+    if (ex->command == Command::kNone) continue;
+    if (!ex->sent && ex->command == Command::kRun && ex->answered) {
       events_.run_ended(*ex, Outcome::kIgnored, "");
     } else if (!ex->sent) {
       send(*ex);
     } else if (ex->in_doubt) {
-      bool harmless =
-          ex->order == Order::kSkip || (ex->order == Order::kRun && ex->group->effect == Effect::kRepeatable);
+      bool harmless = ex->command == Command::kSkip ||
+                      (ex->command == Command::kRun && ex->group->effect == Effect::kRepeatable);
       if (harmless) {
         send(*ex);
-      } else if (ex->answered && ex->order == Order::kRun) {  // nobody waits for it to end or fall due
+      } else if (ex->answered && ex->command == Command::kRun) {  // nobody waits for it to end or fall due
         events_.run_ended(*ex, Outcome::kFailed, "");
       }
     }
@@ -121,10 +121,10 @@
 
 // The engine does not know it: a run that was turned away so has not begun and never will. A site that allows
 // no test leaves the report alone to answer checks.
-void EngineSession::not_carried_out(std::string_view order, const std::string& id) {
-  if (order == "TEST" && std::exchange(testing_, 0)) return events_.tested(true);
+void EngineSession::not_carried_out(std::string_view command, const std::string& id) {
+  if (command == "TEST" && std::exchange(testing_, 0)) return events_.tested(true);
   auto place = by_id_.find(id);
-  if (order != "RUN" || place == by_id_.end() || place->second->order != Order::kRun) return;
+  if (command != "RUN" || place == by_id_.end() || place->second->command != Command::kRun) return;
   events_.run_ended(*place->second, Outcome::kIgnored, "");
 }
 
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -1,12 +1,12 @@
-// What is known of the engine across breaks of the link: which notices were read, which orders arrived. No
+// What is known of the engine across breaks of the link: which notices were read, which commands arrived. No
 // I/O.
 //
-// After a break it is unknown which of the last orders arrived. An order is known to have arrived once gauges
-// asked for after it came back. On a new link nothing is sent before the backlog of notices is read, which
-// the gauges asked for right after HELLO close. Then what never went out is sent. Of what went out unseen, a
-// run of a repeatable exchange and a skip (it names its notice) are sent again; a run that must not happen
-// twice, and a reply that could be taken for the next call's, are not: they end by a notice or at their due
-// time.
+// After a break it is unknown which of the last commands arrived. A command is known to have arrived once
+// gauges asked for after it came back. On a new link nothing is sent before the backlog of notices is read,
+// which the gauges asked for right after HELLO close. Then what never went out is sent. Of what went out
+// unseen, a run of a repeatable exchange and a skip (it names its notice) are sent again; a run that must not
+// happen twice, and a reply that could be taken for the next call's, are not: they end by a notice or at
+// their due time.
 #pragma once
 
 #include <string>
@@ -54,11 +54,11 @@
   void notice(const Notice& notice);
   void stats(std::uint64_t token, const std::vector<double>& values);
   void tested(std::uint64_t token, bool good);
-  void not_carried_out(std::string_view order, const std::string& id);
+  void not_carried_out(std::string_view command, const std::string& id);
   std::uint64_t last_notice() const { return last_notice_; }
 
  private:
-  void give(ServerExchange& ex, Order order);
+  void give(ServerExchange& ex, Command command);
   void send(ServerExchange& ex);
   void settle();
 
@@ -67,7 +67,7 @@
   std::vector<ServerExchange*> runs_;  // in the order they were started
   std::unordered_map<std::string, ServerExchange*> by_id_;
   std::uint64_t last_notice_ = 0;
-  std::uint64_t sent_ = 0;       // orders and questions so far
+  std::uint64_t sent_ = 0;       // commands and questions so far
   std::uint64_t confirmed_ = 0;  // up to here all that was sent is known to have arrived
   std::uint64_t fence_ = 0;      // gauges that close the backlog
   std::uint64_t testing_ = 0;
--- a/src/service/server_exchange.h
+++ b/src/service/server_exchange.h
@@ -20,13 +20,13 @@
 };
 
 // Where the one final answer goes. It must not call back.
-class Asker {
+class AnswerSink {
  public:
-  virtual ~Asker() = default;
+  virtual ~AnswerSink() = default;
   virtual void answer(const FinalAnswer& answer) = 0;
 };
 
-enum class Order { kNone, kRun, kFeed, kSkip };  // what the engine was last told to do
+enum class Command { kNone, kRun, kFeed, kSkip };  // what the engine was last told to do
 
 struct KeyEntry;
 
@@ -34,16 +34,16 @@
   // From the front.
   std::string id;  // of this try
   std::string body;
-  std::string key;         // what tries of one exchange, or reads of one subject, share; empty = none
-  Asker* asker = nullptr;  // null once it is answered or its connection is gone
+  std::string key;             // what tries of one exchange, or reads of one subject, share; empty = none
+  AnswerSink* sink = nullptr;  // null once it is answered or its connection is gone
 
   // Of the engine session.
-  Order order = Order::kNone;   // not yet seen to be done
-  bool sent = false;            // that order went out, perhaps on a link that broke
-  bool in_doubt = false;        // whether it arrived is not known, and it may not be sent again
-  std::uint64_t sent_as = 0;    // its number among all that was sent
-  std::uint64_t at_notice = 0;  // which told of the call that is waited for
-  std::string payload;          // of the call, then its reply
+  Command command = Command::kNone;  // not yet seen to be done
+  bool sent = false;                 // that command went out, perhaps on a link that broke
+  bool in_doubt = false;             // whether it arrived is not known, and it may not be sent again
+  std::uint64_t sent_as = 0;         // its number among all that was sent
+  std::uint64_t at_notice = 0;       // which told of the call that is waited for
+  std::string payload;               // of the call, then its reply
 
   // Of the call below.
   bool calling = false;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -36,9 +36,9 @@
   inside_ = true;
   now_ = std::max(now_, ports_.clock.now());
   step();
-  while (!later_.empty()) {
-    auto [ex, outcome] = later_.front();
-    later_.pop_front();
+  while (!deferred_.empty()) {
+    auto [ex, outcome] = deferred_.front();
+    deferred_.pop_front();
     if (ex->phase == Phase::kOver) continue;
     if (ex->phase != Phase::kAttached) {
       run_ended(*ex, outcome, "");
@@ -87,35 +87,35 @@
 
 void Service::caller_gone(ServerExchange& ex) {
   take([&] {
-    ex.asker = nullptr;
+    ex.sink = nullptr;
     --unanswered_;
     controller_->caller_gone(ex, now_);
     abandon(ex);
   });
 }
 
-void Service::check(Asker& asker, bool probe) {
+void Service::check(AnswerSink& sink, bool probe) {
   take([&] {
     if (!good_ || !probe) {
-      asker.answer({.kind = good_ ? Answer::kCompleted : Answer::kDenied});
+      sink.answer({.kind = good_ ? Answer::kCompleted : Answer::kDenied});
       return;
     }
     if (probes_.empty()) {
       probes_until_ = now_ + kProbeWait;
       if (!engine_.test()) {
-        asker.answer({.kind = Answer::kDenied});
+        sink.answer({.kind = Answer::kDenied});
         return;
       }
     }
-    probes_.push_back(&asker);
+    probes_.push_back(&sink);
   });
 }
 
-void Service::check_gone(Asker& asker) { std::erase(probes_, &asker); }
+void Service::check_gone(AnswerSink& sink) { std::erase(probes_, &sink); }
 
 void Service::answer_checks(bool good) {
-  std::vector<Asker*> probes = std::exchange(probes_, {});
-  for (Asker* asker : probes) asker->answer({.kind = good ? Answer::kCompleted : Answer::kDenied});
+  std::vector<AnswerSink*> probes = std::exchange(probes_, {});
+  for (AnswerSink* sink : probes) sink->answer({.kind = good ? Answer::kCompleted : Answer::kDenied});
 }
 
 // ---- From the engine
@@ -148,7 +148,7 @@
     }
     keys_.end(*entry, outcome == Outcome::kOk, result, now_);
     for (ServerExchange* waiter : std::exchange(entry->waiters, {})) {
-      later_.push_back({waiter, entry->state == KeyEntry::State::kOk ? Outcome::kOk : Outcome::kFailed});
+      deferred_.push_back({waiter, entry->state == KeyEntry::State::kOk ? Outcome::kOk : Outcome::kFailed});
     }
   });
 }
@@ -272,10 +272,10 @@
 // ---- From the Controller
 
 void Service::answer(ServerExchange& ex, const FinalAnswer& answer) {
-  Asker* asker = std::exchange(ex.asker, nullptr);
-  if (!asker) return;
+  AnswerSink* sink = std::exchange(ex.sink, nullptr);
+  if (!sink) return;
   --unanswered_;
-  asker->answer(answer);
+  sink->answer(answer);
 }
 
 void Service::run(Exchange& ex) { engine_.run(own(ex)); }
@@ -293,7 +293,7 @@
 void Service::abandon(ServerExchange& ex) {
   if (ex.phase != Phase::kAbandoned) return;
   give_up_call(ex);
-  if (ex.in_doubt && ex.order == Order::kRun) later_.push_back({&ex, Outcome::kFailed});
+  if (ex.in_doubt && ex.command == Command::kRun) deferred_.push_back({&ex, Outcome::kFailed});
 }
 
 void Service::call(Exchange& given, Nanos longest) {
@@ -332,7 +332,7 @@
 void Service::fail_waiters(KeyEntry& entry) {
   for (ServerExchange* waiter : std::exchange(entry.waiters, {})) {
     waiter->entry = nullptr;
-    later_.push_back({waiter, Outcome::kFailed});
+    deferred_.push_back({waiter, Outcome::kFailed});
   }
 }
 
@@ -342,7 +342,7 @@
     ex.entry->waiters.push_back(&ex);
   } else {
     bool good = ex.entry && ex.entry->state == KeyEntry::State::kOk;
-    later_.push_back({&ex, good ? Outcome::kOk : Outcome::kFailed});
+    deferred_.push_back({&ex, good ? Outcome::kOk : Outcome::kFailed});
   }
 }
 
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -32,11 +32,11 @@
   const ServiceTerms& terms() const { return start_.terms; }
   EngineSession& engine() { return engine_; }
 
-  // From the front. An exchange is read once its last byte is; its asker gets one answer.
+  // From the front. An exchange is read once its last byte is; its sink gets one answer.
   void read(std::unique_ptr<ServerExchange> ex);
   void caller_gone(ServerExchange& ex);
-  void check(Asker& asker, bool probe);
-  void check_gone(Asker& asker);
+  void check(AnswerSink& sink, bool probe);
+  void check_gone(AnswerSink& sink);
   // From the database client.
   void replied(ServerExchange& ex, Reply reply, std::string body);
   // From the clock and the operators.
@@ -69,7 +69,7 @@
   void release(Exchange& ex) override;
 
  private:
-  struct Later {
+  struct Deferred {
     ServerExchange* ex;
     Outcome outcome;
   };
@@ -97,8 +97,8 @@
   std::unordered_map<std::string, std::unique_ptr<ServerExchange>> exchanges_;
   std::vector<ServerExchange*> calls_;
   std::vector<ServerExchange*> released_;
-  std::deque<Later> later_;
-  std::vector<Asker*> probes_;
+  std::deque<Deferred> deferred_;
+  std::vector<AnswerSink*> probes_;
   Gauges gauges_;
   Nanos gauges_at_ = 0;
   Nanos now_ = 0;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -159,7 +159,7 @@
 };
 
 // Who asked for an answer, and what came.
-struct Caller : service::Asker {
+struct Caller : service::AnswerSink {
   void answer(const service::FinalAnswer& given) override {
     using service::Answer;
     answers.push_back(given.kind == Answer::kCompleted ? "completed " + std::string(given.result)
@@ -212,7 +212,7 @@
     ex->arrived = time;
     ex->gives_up_at = time + longest;
     ex->has_subject = true;
-    ex->asker = &caller;
+    ex->sink = &caller;
     service.read(std::move(ex));
     return caller;
   }
