One constructor behind both kinds of connection; state kept twice and dead code removed

Read over: TCP_NODELAY and the set-up stood in both constructors of Connection; Database::Channel kept whether its connection had opened, which Connection knows; KeyTable had an unused size() and result; the stories accepted a peer in four ways. Behaviour is the same.

--- a/src/net/base64.cpp
+++ b/src/net/base64.cpp
@@ -1,5 +1,6 @@
 #include "net/base64.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
-#include <stdexcept>
+#include <new>
 #include <utility>
 
 namespace myrtlecroft::net {
@@ -71,36 +71,38 @@
   if (data_.size() > kKeptBuffer) data_ = {};
 }
 
+Connection::Connection(event_base* base, evutil_socket_t socket, std::size_t most_unread,
+                       ConnectionOwner& owner, service::LogPort& log, std::string what)
+    : owner_(owner),
+      log_(log),
+      what_(std::move(what)),
+      events_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE)),
+      most_unread_(most_unread),
+      end_alarm_(base, [this] { count_end(); }) {
+  if (!events_) throw std::bad_alloc();
+  bufferevent_setcb(events_, on_read, on_write, on_event, this);
+  bufferevent_set_max_single_read(events_, kReadAtOnce);
+  bufferevent_enable(events_, EV_READ | EV_WRITE);
+}
+
 Connection::Connection(event_base* base, evutil_socket_t accepted, ConnectionOwner& owner,
                        service::LogPort& log, std::string what)
-    : owner_(owner), log_(log), what_(std::move(what)), most_unread_(kMostUnread), end_alarm_(base, [this] {
-        count_end();
-      }) {
-  set_up(base, accepted);
-  open_ = true;
-  int yes = 1;
-  setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+    : Connection(base, accepted, kMostUnread, owner, log, std::move(what)) {
+  came_up();
 }
 
 Connection::Connection(event_base* base, const sockaddr_in& to, ConnectionOwner& owner, service::LogPort& log,
                        std::string what)
-    : owner_(owner),
-      log_(log),
-      what_(std::move(what)),
-      most_unread_(kMostUnreadBelow),
-      end_alarm_(base, [this] { count_end(); }) {
-  set_up(base, -1);
+    : Connection(base, -1, kMostUnreadBelow, owner, log, std::move(what)) {
   if (bufferevent_socket_connect(events_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
     end(reason_of(errno, false));
   }
 }
 
-void Connection::set_up(event_base* base, evutil_socket_t socket) {
-  events_ = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
-  if (!events_) throw std::bad_alloc();
-  bufferevent_setcb(events_, on_read, on_write, on_event, this);
-  bufferevent_set_max_single_read(events_, kReadAtOnce);
-  bufferevent_enable(events_, EV_READ | EV_WRITE);
+void Connection::came_up() {
+  open_ = true;
+  int yes = 1;
+  setsockopt(bufferevent_getfd(events_), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
 }
 
 Connection::~Connection() { bufferevent_free(events_); }
@@ -166,13 +168,11 @@
 void Connection::on_event(bufferevent*, short what, void* given) {
   auto* self = static_cast<Connection*>(given);
   if (what & BEV_EVENT_CONNECTED) {
-    self->open_ = true;
+    self->came_up();
     // What comes from below is taken first. After a pause of this process all waits at once, and a new
     // exchange, taken before the runs that ended meanwhile, would see work that stands still. Harm: none
     // seen; what comes from below is little.
     bufferevent_priority_set(self->events_, 0);
-    int yes = 1;
-    setsockopt(bufferevent_getfd(self->events_), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
     self->owner_.opened(*self);
   } else if (what & BEV_EVENT_EOF) {
     self->end(Reason::kPeerClosed);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -4,7 +4,6 @@
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,10 +71,12 @@
   void part(Reason reason);
   bool parting() const { return parting_ || ending_; }
   bool unread() const;  // something has come that was not looked at yet
-  bool is_open() const { return open_ && !parting(); }
+  bool was_open() const { return open_; }
 
  private:
-  void set_up(event_base* base, evutil_socket_t socket);
+  Connection(event_base* base, evutil_socket_t socket, std::size_t most_unread, ConnectionOwner& owner,
+             service::LogPort& log, std::string what);
+  void came_up();
   void flushed();
   void count_end();
   static void on_read(bufferevent*, void* self);
@@ -85,7 +86,7 @@
   ConnectionOwner& owner_;
   service::LogPort& log_;
   std::string what_;
-  bufferevent* events_ = nullptr;
+  bufferevent* events_;
   InputBuffer input_;
   std::size_t most_unread_;
   Alarm end_alarm_;
--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -45,8 +45,6 @@
     given_up_.erase(id);
   }
 
-  void opened(Connection&) override { was_open_ = true; }
-
   std::size_t came(Connection&, std::string_view bytes) override {
     std::size_t taken = 0;
     DatabaseReply reply;
@@ -67,10 +65,10 @@
   }
 
   // A connection that never came up carried nothing. One that breaks proves nothing.
-  void ended(Connection&, Reason) override {
+  void ended(Connection& connection, Reason) override {
     std::map<std::string, service::ServerExchange*> out = std::exchange(out_, {});
     Database& database = database_;
-    service::Reply reply = was_open_ ? service::Reply::kBroken : service::Reply::kUnreachable;
+    service::Reply reply = connection.was_open() ? service::Reply::kBroken : service::Reply::kUnreachable;
     std::erase_if(database.channels_, [this](auto& each) { return each.get() == this; });
     // From here on it is gone.
     for (auto& [id, ex] : out) database.service_->replied(*ex, reply, "");
@@ -86,7 +84,6 @@
   Alarm idle_;
   std::map<std::string, service::ServerExchange*> out_;
   std::set<std::string> given_up_;  // a reply may still come
-  bool was_open_ = false;
 };
 
 Database::Database(Loop& loop, service::LogPort& log, const sockaddr_in& database)
--- a/src/net/database_lines.h
+++ b/src/net/database_lines.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -67,7 +67,7 @@
 
 std::size_t EngineLink::came(Connection& connection, std::string_view bytes) {
   std::size_t taken = 0;
-  while (connection.is_open()) {
+  while (!connection.parting()) {
     std::size_t end = bytes.find('\n', taken);
     if (end == std::string_view::npos) break;
     std::string_view line = bytes.substr(taken, end - taken);
--- a/src/service/key_table.cpp
+++ b/src/service/key_table.cpp
@@ -7,14 +7,13 @@
   return place == entries_.end() ? nullptr : &place->second;
 }
 
-KeyEntry& KeyTable::keep(ServerExchange& ex, Nanos expires) {
+void KeyTable::keep(ServerExchange& ex, Nanos expires) {
   KeyEntry& entry = entries_[{ex.group, ex.key}];
   by_end_.erase({entry.expires, &entry});
   bytes_ -= entry.result.size();
   entry = KeyEntry{.name = {ex.group, ex.key}, .holder = &ex, .expires = expires};
   by_end_.emplace(expires, &entry);
   ex.entry = &entry;
-  return entry;
 }
 
 void KeyTable::end(KeyEntry& entry, bool good, std::string_view result, Nanos now) {
--- a/src/service/key_table.h
+++ b/src/service/key_table.h
@@ -30,12 +30,11 @@
   explicit KeyTable(std::size_t result_bytes) : most_bytes_(result_bytes) {}
 
   KeyEntry* find(const EndpointGroup* group, const std::string& key);
-  KeyEntry& keep(ServerExchange& ex, Nanos expires);
+  void keep(ServerExchange& ex, Nanos expires);
   void end(KeyEntry& entry, bool good, std::string_view result, Nanos now);
   void drop(KeyEntry& entry);
   // Drops what has expired and has neither holder nor waiters.
   void expire(Nanos now);
-  std::size_t size() const { return entries_.size(); }
 
  private:
   std::map<std::pair<const EndpointGroup*, std::string>, KeyEntry> entries_;
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -1,7 +1,6 @@
 #include "wire.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <string_view>
 #include <unordered_map>
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -100,6 +100,11 @@
     std::string all;
     return until([&] { return (all += peer.read()).find(part) != std::string::npos; });
   }
+  Plain accepted_by(Plain& listener) {
+    int socket = -1;
+    EXPECT_TRUE(until([&] { return (socket = listener.accept()) >= 0; }));
+    return Plain(socket);
+  }
   void turn(Nanos how_long) {
     until([&, end = loop.now() + how_long] { return loop.now() >= end; });
   }
@@ -271,10 +276,7 @@
   EngineLink link(loop, *this, at_port(listener.listen()));
   service::EngineSession session(link, world.service);
   link.begin(session);
-  int socket = -1;
-  auto accepted = [&] { return (socket = listener.accept()) >= 0; };
-  ASSERT_TRUE(until(accepted));
-  Plain engine(socket);
+  Plain engine = accepted_by(listener);
   EXPECT_TRUE(comes(engine, "{\"cmd\":\"ATTACH\",\"offset\":0}\n"));
   engine.write("{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":5}\n{\"cmd\":\"NOTE\",\"offset\":4,");
   engine.write("\"result\":\"" + std::string(40'000, 'x') + "\"}\n{\"cmd\":\"NEWS\"}\n");
@@ -283,8 +285,7 @@
   engine.write("{\"cmd\":\"DONE\",\"offset\":5\n");
   EXPECT_TRUE(comes(engine, "(end)"));
   EXPECT_TRUE(logged("engine link ended: malformed"));
-  ASSERT_TRUE(until(accepted));
-  Plain again(socket);
+  Plain again = accepted_by(listener);
   EXPECT_TRUE(comes(again, "{\"cmd\":\"ATTACH\",\"offset\":4}\n"));
   // The same line once more: left out, or the link would never get past it.
   again.write("{\"cmd\":\"DONE\",\"offset\":5\n{\"cmd\":\"NOTE\",\"offset\":6}\n");
@@ -296,9 +297,7 @@
   EngineLink link(loop, *this, at_port(listener.listen()));
   service::EngineSession session(link, world.service);
   link.begin(session);
-  int socket = -1;
-  ASSERT_TRUE(until([&] { return (socket = listener.accept()) >= 0; }));
-  Plain engine(socket);
+  Plain engine = accepted_by(listener);
   EXPECT_TRUE(comes(engine, "ATTACH"));
   std::string part(100'000, 'x');
   engine.write("{\"cmd\":\"NOTE\",\"offset\":1,\"result\":\"");
@@ -316,9 +315,7 @@
   Plain listener;
   EngineLink link(loop, *this, at_port(listener.listen()));
   link.begin(world.service.engine());
-  int socket = -1;
-  ASSERT_TRUE(until([&] { return (socket = listener.accept()) >= 0; }));
-  Plain engine(socket);
+  Plain engine = accepted_by(listener);
   turn(10 * kMs);
   world.answer_gauges();
   for (int i = 0; i < 20; ++i) {
@@ -378,11 +375,7 @@
     world.need(id);
     return *caller.ex;
   }
-  Plain accept() {
-    int socket = -1;
-    EXPECT_TRUE(until([&] { return (socket = listener.accept()) >= 0; }));
-    return Plain(socket);
-  }
+  Plain accept() { return accepted_by(listener); }
   Plain listener;
   Database database;
 };
