Balancers' connections are bounded by the descriptor limit; silent and idle ones go first

Checked: 2,795 connections that asked once stayed open; memory was level at 4 MB; no connection was ever closed as idle. Ruled out: a leak of ours, the engine's link, memory. At fault: Front::add took every connection, limits.sockets was not read, and a connection that never brought a request was only closed by the module's idle limit, or after 30 s with half of one. Now a quarter of the descriptors is kept for our own links. When the others are taken, the connection that longest has not brought a whole request is closed, then the longest idle one; never one in use. A first request has 2 s to come.

--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -13,7 +13,9 @@
 using namespace terms;
 
 constexpr std::int64_t kLongestStop = 86'400'000;  // ms
-constexpr double kResultShare = 0.25;              // of the memory, for results kept by key
+constexpr std::int64_t kUsualDescriptors = 1024;   // where no limit is told
+constexpr std::int64_t kFewestDescriptors = 64;
+constexpr double kResultShare = 0.25;  // of the memory, for results kept by key
 
 sockaddr_in address(object fields, std::string_view name) {
   std::string given = text(fields, name);
@@ -63,7 +65,11 @@
     std::int64_t stop_ms = whole(fields, "stop_ms");
     if (stop_ms <= 0 || stop_ms > kLongestStop) bad("stop_ms", "is not a time from 1 ms to a day");
     launch.start.stop_after = stop_ms * 1'000'000;
-    double memory_mb = number(part(fields, "limits"), "memory_mb");
+    object limits = part(fields, "limits");
+    std::int64_t descriptors = whole_or(limits, "sockets", kUsualDescriptors);
+    if (descriptors < kFewestDescriptors) bad("sockets", "is too few");
+    launch.descriptors = static_cast<std::size_t>(descriptors);
+    double memory_mb = number(limits, "memory_mb");
     if (memory_mb <= 0) bad("memory_mb", "is not above 0");
     launch.start.result_bytes = static_cast<std::size_t>(kResultShare * memory_mb * 1024 * 1024);
     object settings = part(fields, "settings");
--- a/src/launch.h
+++ b/src/launch.h
@@ -15,6 +15,7 @@
   sockaddr_in engine{};
   sockaddr_in members{};
   sockaddr_in database{};
+  std::size_t descriptors = 0;
   service::Service::Start start;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,11 +15,13 @@
 
 namespace {
 
+constexpr std::size_t kOwnDescriptors = 4;  // one of so many is kept for what is not a balancer's connection
+
 void serve(myrtlecroft::Launch launch) {
   using namespace myrtlecroft;
   net::Loop loop;
   net::Log log(loop);
-  net::Front front(loop, log, launch.listen);
+  net::Front front(loop, log, launch.listen, launch.descriptors - launch.descriptors / kOwnDescriptors);
   net::EngineLink engine(loop, log, launch.engine);
   net::Database database(loop, log, launch.database);
   net::Membership membership(loop, launch.name, launch.members);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -45,6 +45,8 @@
       return "malformed";
     case Reason::kUnread:
       return "unread";
+    case Reason::kCrowded:
+      return "crowded";
     case Reason::kDone:
       return "done";
     case Reason::kDrained:
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -22,6 +22,7 @@
   kIdle,
   kMalformed,
   kUnread,
+  kCrowded,
   kDone,
   kDrained
 };
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -16,9 +16,11 @@
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kAcceptPause = 100 * kMs;    // after the descriptors ran out
-constexpr Nanos kBegunLimit = 30'000 * kMs;  // for a request that does not come to its end
-constexpr Nanos kClocksApart = 86'400'000;   // ms; a stamp further away is none
+constexpr Nanos kAcceptPause = 100 * kMs;  // after the descriptors ran out
+constexpr Nanos kBusyPause = 20 * kMs;     // while all connections are in use
+constexpr Nanos kBegunLimit =
+    2'000 * kMs;  // for a request to come to its end, the first one from its connect
+constexpr Nanos kClocksApart = 86'400'000;  // ms; a stamp further away is none
 constexpr std::string_view kPath = "/api/v2/";
 constexpr std::string_view kHealthPath = "/-/healthy";
 constexpr std::size_t kIdDigits = 16;
@@ -72,6 +74,8 @@
 
   bool busy() const { return !open_.empty(); }
   bool assembling() const { return reader_.assembling() || left_over_; }
+  // The caller has not shown that it speaks the protocol, or is in the middle of a request.
+  bool begun() const { return assembling() || !asked_; }
   Connection& connection() { return connection_; }
 
   std::size_t came(Connection&, std::string_view bytes) override {
@@ -128,12 +132,14 @@
   CgiReader reader_;
   std::map<std::uint16_t, std::unique_ptr<OpenRequest>> open_;
   bool left_over_ = false;
-  bool last_ = false;  // a request asked not to keep the connection
+  bool asked_ = false;  // a whole request has come
+  bool last_ = false;   // a request asked not to keep the connection
 };
 
 void Front::OpenRequest::answer(const service::FinalAnswer& answer) { peer.answered(*this, answer); }
 
 void Front::BalancerConnection::requested(CgiRequest request) {
+  asked_ = true;
   OpenRequest& open = *open_.emplace(request.id, std::make_unique<OpenRequest>(*this, request)).first->second;
   std::string_view script = request.field("SCRIPT_NAME");
   if (script == kHealthPath) {
@@ -195,12 +201,13 @@
   return ex;
 }
 
-Front::Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen)
+Front::Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen, std::size_t most_connections)
     : loop_(loop),
       log_(log),
       accept_again_(loop.base(), [this] { evconnlistener_enable(listener_.get()); }),
       sweep_(loop.base(), [this] { sweep(); }),
-      finish_(loop.base(), [this] { finished_(); }) {
+      finish_(loop.base(), [this] { finished_(); }),
+      most_connections_(most_connections) {
   listener_.reset(evconnlistener_new_bind(loop.base(), accepted, this,
                                           LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, kBacklog,
                                           reinterpret_cast<const sockaddr*>(&listen), sizeof listen));
@@ -240,24 +247,49 @@
       std::make_unique<BalancerConnection>(*this, socket, "balancer connection " + std::to_string(++count_)));
   (*own)->own = own;
   place(**own);
+  if (peers_.size() < most_connections_ || make_room() || finishing_) return;
+  evconnlistener_disable(listener_.get());
+  accept_again_.set(kBusyPause);
 }
 
-void Front::remove(BalancerConnection& peer) {
+// Balancers need half of the descriptors at most: what takes more are callers that keep a connection for
+// good, or say nothing. Those that have not brought a whole request go first, then what has been idle
+// longest. Harm: a caller that would have come again connects anew. False when all are in use.
+bool Front::make_room() {
+  if (!begun_.empty() && begun_.front() != peers_.back().get()) {
+    begun_.front()->connection().end(Reason::kCrowded);
+    return leave_list(*begun_.front()), true;
+  }
+  for (BalancerConnection* peer : idle_) {
+    if (peer->connection().unread()) continue;
+    peer->connection().part(Reason::kCrowded);
+    return leave_list(*peer), true;
+  }
+  return false;
+}
+
+void Front::leave_list(BalancerConnection& peer) {
   if (peer.in_list) peer.in_list->erase(peer.place);
+  peer.in_list = nullptr;
+}
+
+void Front::remove(BalancerConnection& peer) {
+  leave_list(peer);
   peers_.erase(peer.own);
   if (finishing_ && peers_.empty()) finish_.set(0);
 }
 
 void Front::place(BalancerConnection& peer) {
-  if (peer.in_list) peer.in_list->erase(peer.place);
-  peer.in_list = nullptr;
+  bool begun = peer.begun() && !peer.busy();
+  if (begun && peer.in_list == &begun_ && !finishing_ && !peer.connection().parting()) return;
+  leave_list(peer);
   if (peer.busy() || peer.connection().parting()) return;
   // A request that waits to be read is read first: it came before our close.
   if (finishing_ && !peer.assembling() && !peer.connection().unread()) {
     peer.connection().part(Reason::kDrained);
     return;
   }
-  peer.in_list = peer.assembling() ? &begun_ : &idle_;
+  peer.in_list = begun ? &begun_ : &idle_;
   peer.place = peer.in_list->insert(peer.in_list->end(), &peer);
   peer.since = loop_.now();
   if (!sweep_.is_set()) set_sweep();
@@ -278,8 +310,7 @@
         list.splice(list.end(), list, peer.place);
         continue;
       }
-      list.pop_front();
-      peer.in_list = nullptr;
+      leave_list(peer);
       peer.connection().part(Reason::kIdle);
     }
   };
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -16,8 +16,9 @@
 
 class Front final : public service::FrontPort {
  public:
-  // Listens from here on. Throws std::runtime_error when the address can't be had.
-  Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen);
+  // Listens from here on, and holds at most about so many connections. Throws std::runtime_error when the
+  // address can't be had.
+  Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen, std::size_t most_connections);
   ~Front() override;
   // `finished` is told once, after finish(), when no connection is left.
   void serve(service::Service& service, std::function<void()> finished);
@@ -35,6 +36,8 @@
   void add(evutil_socket_t socket);
   void remove(BalancerConnection& peer);
   void place(BalancerConnection& peer);
+  bool make_room();
+  void leave_list(BalancerConnection& peer);
   void sweep();
   void set_sweep();
   std::unique_ptr<service::ServerExchange> exchange_of(CgiRequest& request) const;
@@ -52,9 +55,11 @@
   Alarm sweep_;
   Alarm finish_;
   std::list<std::unique_ptr<BalancerConnection>> peers_;
-  std::list<BalancerConnection*> idle_;   // nothing open, longest idle first
-  std::list<BalancerConnection*> begun_;  // a request begun and none open, longest so first
-  Nanos idle_limit_ = 0;                  // 0 = none
+  std::list<BalancerConnection*> idle_;  // nothing open, longest idle first
+  std::list<BalancerConnection*>
+      begun_;  // none open, and the first or a further one not whole, longest so first
+  std::size_t most_connections_;
+  Nanos idle_limit_ = 0;  // 0 = none
   bool finishing_ = false;
   std::uint64_t count_ = 0;
 };
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -119,7 +119,7 @@
 // ---- Front
 
 struct FrontStory : NetStory {
-  FrontStory() : port(free_port()), front(loop, *this, at_port(port)) {
+  FrontStory() : port(free_port()), front(loop, *this, at_port(port), 12) {
     world.engine_up();
     front.serve(world.service, [this] { finished = true; });
   }
@@ -269,6 +269,43 @@
   EXPECT_TRUE(comes(waiting.back(), "Status: 200"));
 }
 
+// Callers that keep a connection for good, or connect and say nothing, took the last descriptor: balancers
+// and the links to engine and database got none.
+TEST_F(FrontStory, CrowdedItClosesTheSilentThenTheLongestIdleAndNeverABusyOne) {
+  Plain busy = connected();
+  busy.write(request(1, "/api/v2/read", first));
+  Plain idle = connected();
+  idle.write(request(1, "/-/healthy", ""));
+  EXPECT_TRUE(comes(idle, "Status: 200"));
+  std::vector<Plain> silent;
+  for (int i = 0; i < 10; ++i) silent.push_back(connected());
+  EXPECT_TRUE(comes(silent[0], "(end)"));
+  EXPECT_TRUE(logged("ended: crowded"));
+  EXPECT_EQ(idle.read(), "");
+  for (Plain& peer : silent) peer.write(request(1, "/-/healthy", ""));
+  std::vector<Plain> more;
+  for (int i = 0; i < 2; ++i) {
+    more.push_back(connected());
+    more.back().write(request(1, "/-/healthy", ""));
+    EXPECT_TRUE(comes(more.back(), "Status: 200"));
+  }
+  EXPECT_TRUE(comes(idle, "(end)"));
+  world.done(first);
+  EXPECT_TRUE(comes(busy, "Status: 200"));
+}
+
+TEST_F(FrontStory, OneThatNeverBringsAWholeRequestIsClosedInTime) {
+  Plain silent = connected();
+  Plain half = connected();
+  Nanos began = loop.now();
+  for (int i = 0; i < 30; ++i) {
+    half.offer(std::string("\1\1\0\1\0\10\0\0", 8).substr(static_cast<std::size_t>(i) % 8, i < 8 ? 1 : 0));
+    turn(75 * kMs);
+  }
+  EXPECT_TRUE(comes(silent, "(end)") && comes(half, "(end)"));
+  EXPECT_LT(loop.now() - began, 3 * kSecond);
+}
+
 // ---- Engine link
 
 TEST_F(NetStory, TheEngineLinkComesBackAndAsksForWhatItHasNotRead) {
