SIGHUP takes new addresses over; each call below has a connection of its own

At fault: main.cpp had no handler; EngineLink and Database knew one address for life; four shared database connections spread one break over many calls, and a copy of a reply could be taken for the same exchange's next call (Database::Channel knew calls by exchange only). Now the new engine link waits beside the old one until gauges show that all commands on the old arrived, so that none is in doubt; calls under way end where they are; a bad file leaves all as it was with one line. A database connection carries one call at a time while there are enough of them, is used again only within 250 ms, never twice for one exchange, and is left when it brings what nobody asked for or half a reply.

--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -45,6 +45,22 @@
 
 }  // namespace
 
+std::string fixed_differences(const Launch& running, const Launch& read) {
+  std::string out;
+  auto note = [&](bool differs, const char* name) {
+    if (differs) out += std::string(out.empty() ? "" : ", ") + name;
+  };
+  note(running.name != read.name, "name");
+  note(running.listen.sin_port != read.listen.sin_port ||
+           running.listen.sin_addr.s_addr != read.listen.sin_addr.s_addr,
+       "listen");
+  note(running.start.seed != read.start.seed, "seed");
+  note(running.start.stop_after != read.start.stop_after, "stop_ms");
+  note(running.limits != read.limits, "limits");
+  note(running.settings != read.settings, "settings");
+  return out;
+}
+
 Launch read_launch(const char* path) {
   if (!path || !*path) throw std::runtime_error("LB_CONFIG names no file");
   simdjson::dom::parser parser;
@@ -75,6 +91,8 @@
     object settings = part(fields, "settings");
     launch.start.terms = read_terms(settings);
     launch.start.gauge_names = read_gauge_names(settings);
+    launch.limits = simdjson::minify(limits);
+    launch.settings = simdjson::minify(settings);
     return launch;
   } catch (const FieldError& error) {
     throw std::runtime_error(std::string(path) + ": " + error.what());
--- a/src/launch.h
+++ b/src/launch.h
@@ -17,8 +17,13 @@
   sockaddr_in database{};
   std::size_t descriptors = 0;
   service::Service::Start start;
+  std::string limits;    // as text, to see whether they differ in a file read again
+  std::string settings;  // the same
 };
 
+// What a running server can't take from a file it reads again, named; empty when nothing of it differs.
+std::string fixed_differences(const Launch& running, const Launch& read);
+
 // From the file that LB_CONFIG names. Throws std::runtime_error with a message for the operators.
 Launch read_launch(const char* path);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,16 +17,17 @@
 
 constexpr std::size_t kOwnDescriptors = 4;  // one of so many is kept for what is not a balancer's connection
 
-void serve(myrtlecroft::Launch launch) {
+void serve(const char* path, myrtlecroft::Launch launch) {
   using namespace myrtlecroft;
   net::Loop loop;
   net::Log log(loop);
-  net::Front front(loop, log, launch.listen, launch.descriptors - launch.descriptors / kOwnDescriptors);
+  std::size_t own = launch.descriptors / kOwnDescriptors;
+  net::Front front(loop, log, launch.listen, launch.descriptors - own);
   net::EngineLink engine(loop, log, launch.engine);
-  net::Database database(loop, log, launch.database);
+  net::Database database(loop, log, launch.database, own / 2);
   net::Membership membership(loop, launch.name, launch.members);
-  Nanos stop_after = launch.start.stop_after;
-  service::Service service(std::move(launch.start), {loop, front, engine, database, membership, log});
+  const Nanos stop_after = launch.start.stop_after;
+  service::Service service(launch.start, {loop, front, engine, database, membership, log});
 
   std::string how = "stopped";
   net::Alarm last_moment(loop.base(), [&] {
@@ -39,6 +40,21 @@
   };
   net::Alarm terminated(loop.base(), SIGTERM, leave);
   net::Alarm interrupted(loop.base(), SIGINT, leave);
+  // New addresses are taken over under load. What is fixed for the life of a server is left as it is, and a
+  // file that makes no sense changes nothing.
+  net::Alarm reload(loop.base(), SIGHUP, [&] {
+    try {
+      Launch read = read_launch(path);
+      engine.move(read.engine);
+      database.move(read.database);
+      membership.move(read.members);
+      std::string fixed = fixed_differences(launch, read);
+      log.line("reload: addresses taken over" +
+               (fixed.empty() ? "" : "; these differ and wait for a restart: " + fixed));
+    } catch (const std::exception& error) {
+      log.line(std::string("reload failed, all stays as it was: ") + error.what());
+    }
+  });
   loop.on_wake([&] { service.woke(); });
   front.serve(service, [&] { loop.stop(); });
   database.begin(service);
@@ -52,8 +68,10 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until it can be heeded
   try {
-    serve(myrtlecroft::read_launch(std::getenv("LB_CONFIG")));
+    const char* path = std::getenv("LB_CONFIG");
+    serve(path, myrtlecroft::read_launch(path));
   } catch (const std::exception& error) {
     std::fprintf(stderr, "myrtlecroft: %s\n", error.what());
     return 1;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -47,6 +47,10 @@
       return "unread";
     case Reason::kCrowded:
       return "crowded";
+    case Reason::kMoved:
+      return "moved";
+    case Reason::kSpent:
+      return "spent";
     case Reason::kDone:
       return "done";
     case Reason::kDrained:
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -23,6 +23,8 @@
   kMalformed,
   kUnread,
   kCrowded,
+  kMoved,
+  kSpent,
   kDone,
   kDrained
 };
--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -11,8 +11,11 @@
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
-constexpr std::size_t kMostChannels = 4;
-constexpr Nanos kIdleLimit = 8'000 * kMs;  // sooner than the database, so that no call crosses its close
+// A connection that was idle may have been forgotten over there: its reset at the next call would look like
+// that of a call that ran.
+constexpr Nanos kIdleLimit = 250 * kMs;
+constexpr Nanos kPartialLimit = 300 * kMs;  // for a reply that has begun to come to its end
+constexpr std::size_t kMostCarried = 64;    // calls in a connection's life
 
 }  // namespace
 
@@ -21,47 +24,64 @@
   explicit Channel(Database& database)
       : database_(database),
         connection_(database.loop_.base(), database.database_, *this, database.log_, "database connection"),
-        idle_(database.loop_.base(), [this] { connection_.end(Reason::kIdle); }) {}
+        limit_(database.loop_.base(),
+               [this] { connection_.end(out_.empty() ? Reason::kIdle : Reason::kMalformed); }) {}
 
   bool can_carry(const std::string& id) const {
-    return !connection_.parting() && !out_.contains(id) && !given_up_.contains(id);
+    return !retired_ && !connection_.parting() && !carried_.contains(id) && carried_.size() < kMostCarried &&
+           (out_.size() > 0 || !connection_.was_open() || !connection_.unread());
   }
+  std::size_t load() const { return out_.size(); }
 
   void call(service::ServerExchange& ex, std::string_view body, Nanos longest) {
-    idle_.clear();
+    if (out_.empty()) limit_.clear();
     out_[ex.id] = &ex;
+    carried_.insert(ex.id);
     connection_.write(query_line(ex.id, std::max<Nanos>(1, (longest + kMs - 1) / kMs), body));
   }
 
+  // Closing gives up what is on it. Where other calls are, they end first.
   void give_up(service::ServerExchange& ex) {
     if (!out_.erase(ex.id)) return;
-    given_up_.insert(ex.id);
-    connection_.write(give_up_line(ex.id));
-    rest();
+    if (!out_.empty()) connection_.write(give_up_line(ex.id));
+    retire();
+  }
+
+  void retire() {
+    retired_ = true;
+    if (out_.empty()) connection_.end(Reason::kSpent);
   }
 
   void forget(const std::string& id) {
-    out_.erase(id);
-    given_up_.erase(id);
+    if (out_.erase(id)) retire();
   }
 
   std::size_t came(Connection&, std::string_view bytes) override {
     std::size_t taken = 0;
     DatabaseReply reply;
-    for (;;) {
-      LineState state = read_database_reply(bytes.substr(taken), reply);
-      if (state == LineState::kMalformed) connection_.end(Reason::kMalformed);
-      if (state != LineState::kWhole) return taken;
+    LineState state = LineState::kWhole;
+    while (!connection_.parting() && taken < bytes.size() &&
+           (state = read_database_reply(bytes.substr(taken), reply)) == LineState::kWhole) {
       taken += reply.size;
-      std::string id(reply.id);
-      given_up_.erase(id);
-      auto place = out_.find(id);
-      if (place == out_.end()) continue;
+      auto place = out_.find(std::string(reply.id));
+      if (place == out_.end()) {
+        retire();  // a second copy, or what nobody asked for: no more calls on this one
+        continue;
+      }
       service::ServerExchange& ex = *place->second;
       out_.erase(place);
-      rest();
+      limit_.clear();
       database_.service_->replied(ex, reply.reply, std::string(reply.body));
     }
+    if (state == LineState::kMalformed) connection_.end(Reason::kMalformed);
+    if (connection_.parting()) return bytes.size();
+    if (out_.empty() && (retired_ || taken < bytes.size())) retire();
+    if (!out_.empty() && taken == bytes.size()) {
+      limit_.clear();
+    } else if (!limit_.is_set()) {
+      limit_.set(out_.empty() ? kIdleLimit : kPartialLimit);
+    }
+    return taken;
   }
 
   // A connection that never came up carried nothing. One that breaks proves nothing.
@@ -75,27 +95,37 @@
   }
 
  private:
-  void rest() {
-    if (out_.empty()) idle_.set(kIdleLimit);
-  }
-
   Database& database_;
   Connection connection_;
-  Alarm idle_;
+  Alarm limit_;  // for a reply to come whole; with no call out, for the next call
   std::map<std::string, service::ServerExchange*> out_;
-  std::set<std::string> given_up_;  // a reply may still come
+  std::set<std::string> carried_;  // a reply to these may still come
+  bool retired_ = false;
 };
 
-Database::Database(Loop& loop, service::LogPort& log, const sockaddr_in& database)
-    : loop_(loop), log_(log), database_(database), tell_(loop.base(), [this] { tell_unreachable(); }) {}
+Database::Database(Loop& loop, service::LogPort& log, const sockaddr_in& database,
+                   std::size_t most_connections)
+    : loop_(loop),
+      log_(log),
+      database_(database),
+      most_connections_(most_connections),
+      tell_(loop.base(), [this] { tell_unreachable(); }) {}
 
 Database::~Database() = default;
 
+void Database::move(const sockaddr_in& database) {
+  database_ = database;
+  for (auto& channel : channels_) channel->retire();
+}
+
+// One with nothing out, the latest opened first; else a new one; else the one with the fewest calls out.
 Database::Channel* Database::channel_for(const std::string& id) {
+  Channel* best = nullptr;
   for (auto& channel : channels_) {
-    if (channel->can_carry(id)) return channel.get();
+    if (channel->can_carry(id) && (!best || channel->load() <= best->load())) best = channel.get();
   }
-  if (channels_.size() >= kMostChannels) return nullptr;
+  if (best && best->load() == 0) return best;
+  if (channels_.size() >= most_connections_) return best;
   return channels_.emplace_back(std::make_unique<Channel>(*this)).get();
 }
 
--- a/src/net/database_lines.cpp
+++ b/src/net/database_lines.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::string_view kEnd = "\r\n";
 constexpr std::size_t kLongestLine = 512;
-constexpr std::size_t kLongestBody = std::size_t{1} << 20;
+constexpr std::size_t kLongestBody = std::size_t{1} << 16;
 
 std::string_view next_word(std::string_view& line) {
   std::size_t space = line.find(' ');
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -12,6 +12,7 @@
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kFirstWait = 10 * kMs;
 constexpr Nanos kLongestWait = 200 * kMs;
+constexpr Nanos kHandOver = 100 * kMs;  // at most, for what was sent on the old link to be seen
 constexpr std::size_t kLongestLine = std::size_t{1} << 20;
 
 std::uint64_t token_of(const EngineLine& line) {
@@ -40,6 +41,7 @@
       log_(log),
       engine_(engine),
       again_(loop.base(), [this] { connect(); }),
+      hand_over_(loop.base(), [this] { hand_over(); }),
       wait_(kFirstWait) {}
 
 void EngineLink::begin(service::EngineSession& session) {
@@ -47,20 +49,60 @@
   connect();
 }
 
+// With a link up, the engine has moved: the new link waits beside it.
 void EngineLink::connect() {
-  skipping_ = false;
-  connection_ = std::make_unique<Connection>(loop_.base(), engine_, *this, log_, "engine link");
+  (connection_ ? next_ : connection_) =
+      std::make_unique<Connection>(loop_.base(), engine_, *this, log_, "engine link");
+}
+
+void EngineLink::move(const sockaddr_in& engine) {
+  engine_ = engine;
+  next_.reset();
+  again_.clear();
+  if (connection_ && !connection_->was_open()) connection_.reset();
+  connect();
+}
+
+void EngineLink::hand_over() {
+  if (!next_ || !next_->was_open() || next_->parting()) return;
+  hand_over_.clear();
+  paused_ = false;
+  old_ = std::exchange(connection_, std::move(next_));
+  old_->end(Reason::kMoved);
+  session_->lost();
+  opened(*connection_);
 }
 
 void EngineLink::send(const std::string& line) {
   if (connection_) connection_->write(line);
 }
 
-void EngineLink::opened(Connection&) { session_->linked(); }
+void EngineLink::opened(Connection& connection) {
+  if (&connection == next_.get()) {
+    hand_over_.set(kHandOver);
+    paused_ = true;
+    session_->pause();
+    return;
+  }
+  skipping_ = false;
+  session_->linked();
+}
 
-void EngineLink::ended(Connection&, Reason) {
-  connection_.reset();
+void EngineLink::ended(Connection& connection, Reason) {
+  if (&connection == old_.get()) return old_.reset();
+  if (&connection == next_.get()) {
+    next_.reset();
+    if (paused_) connection_->end(Reason::kMoved);  // it can't be taken up again
+    again_.set(wait_);
+    return;
+  }
+  connection_ = std::move(next_);
+  paused_ = false;
   session_->lost();
+  if (connection_) {
+    if (connection_->was_open() && !connection_->parting()) opened(*connection_);
+    return;
+  }
   again_.set(wait_);
   wait_ = std::min(2 * wait_, kLongestWait);
 }
@@ -79,6 +121,10 @@
     if (std::exchange(bad_after_, session_->last_notice() + 1) == session_->last_notice() + 1) continue;
     connection.end(Reason::kMalformed);
   }
+  if (next_ && session_->nothing_on_its_way()) {
+    hand_over();
+    return bytes.size();
+  }
   if (bytes.size() - taken > kLongestLine) {
     log_.frequent("engine line too long, left out");
     skipping_ = true;
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -13,6 +13,9 @@
  public:
   EngineLink(Loop& loop, service::LogPort& log, const sockaddr_in& engine);
   void begin(service::EngineSession& session);
+  // The engine is to be reached elsewhere from now on. The old link stays until the new one is open and all
+  // that was sent on the old is known to have arrived.
+  void move(const sockaddr_in& engine);
 
   void attach(std::uint64_t last_notice) override { send(attach_line(last_notice)); }
   void run(std::string_view id, std::string_view group, std::string_view body) override {
@@ -29,6 +32,7 @@
 
  private:
   void connect();
+  void hand_over();
   bool take(std::string_view line);  // false: not a line of the protocol
   void send(const std::string& line);
 
@@ -37,8 +41,12 @@
   sockaddr_in engine_;
   service::EngineSession* session_ = nullptr;
   std::unique_ptr<Connection> connection_;
+  std::unique_ptr<Connection> next_;  // to where the engine has moved
+  std::unique_ptr<Connection> old_;   // left behind, about to end
   Alarm again_;
+  Alarm hand_over_;
   Nanos wait_;
+  bool paused_ = false;          // nothing is sent until the new link takes over
   bool skipping_ = false;        // within a line that is too long to keep
   std::uint64_t bad_after_ = 0;  // 1 + the notice after which a line could not be read
 };
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -24,9 +24,15 @@
 
 void Membership::report(bool good) {
   good_ = good;
+  reporting_ = true;
   send();
 }
 
+void Membership::move(const sockaddr_in& service) {
+  service_ = service;
+  if (reporting_) send();
+}
+
 void Membership::send() {
   std::string line = "HB " + name_ + (good_ ? " UP" : " OUT");
   ::sendto(socket_, line.data(), line.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr*>(&service_),
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -14,6 +14,7 @@
   Membership(Loop& loop, std::string name, const sockaddr_in& service);
   ~Membership() override;
   void report(bool good) override;
+  void move(const sockaddr_in& service);
 
  private:
   void send();
@@ -22,6 +23,7 @@
   sockaddr_in service_;
   int socket_;
   bool good_ = false;
+  bool reporting_ = false;
   Alarm again_;
 };
 
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -53,6 +53,12 @@
   return true;
 }
 
+void EngineSession::pause() {
+  settled_ = false;
+  fence_ = 0;
+  link_.stat(++sent_);
+}
+
 void EngineSession::lost() {
   settled_ = false;
   fence_ = 0;
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -48,6 +48,8 @@
   bool test();  // false: the link is down, nothing was asked
 
   // From the link.
+  void pause();  // send nothing more on this link, and see to it that what was sent is known to have arrived
+  bool nothing_on_its_way() const { return !settled_ && confirmed_ == sent_; }
   void linked() { link_.attach(last_notice_); }
   void lost();
   void hello(bool booting, Nanos age);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -329,6 +329,34 @@
   EXPECT_TRUE(until([&] { return session.last_notice() == 6; }));
 }
 
+// Moved, nothing that was on its way on the old link may be in doubt, and no notice is lost or read twice.
+TEST_F(NetStory, TheEngineMovesAndTheOldLinkStaysUntilWhatItCarriedHasArrived) {
+  Plain listener;
+  EngineLink link(loop, *this, at_port(listener.listen()));
+  service::EngineSession session(link, world.service);
+  link.begin(session);
+  Plain old = accepted_by(listener);
+  const std::string hello = "{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":5}\n";
+  auto stats = [](int token) {
+    return "{\"cmd\":\"STATS\",\"token\":\"" + std::to_string(token) + "\",\"load\":[]}\n";
+  };
+  ASSERT_TRUE(comes(old, "ATTACH"));
+  old.write(hello);
+  ASSERT_TRUE(comes(old, "\"token\":\"1\""));
+  old.write(stats(1));
+  turn(10 * kMs);
+  Plain elsewhere;
+  link.move(at_port(elsewhere.listen()));
+  Plain moved = accepted_by(elsewhere);
+  EXPECT_TRUE(comes(old, "\"token\":\"2\""));
+  session.ask_gauges();  // held back
+  EXPECT_EQ(moved.read(), "");
+  old.write("{\"cmd\":\"NOTE\",\"offset\":1}\n" + stats(2) + "{\"cmd\":\"NOTE\",\"offset\":2}\n");
+  EXPECT_TRUE(comes(moved, "ATTACH\",\"offset\":2}"));
+  EXPECT_TRUE(comes(old, "(end)"));
+  EXPECT_TRUE(logged("engine link ended: moved"));
+}
+
 TEST_F(NetStory, AnEngineLineTooLongToKeepIsLeftOutAndTheNextIsRead) {
   Plain listener;
   EngineLink link(loop, *this, at_port(listener.listen()));
@@ -402,7 +430,7 @@
 // ---- Database
 
 struct DatabaseStory : NetStory {
-  DatabaseStory() : database(loop, *this, at_port(listener.listen())) {
+  DatabaseStory() : database(loop, *this, at_port(listener.listen()), 4) {
     database.begin(world.service);
     world.engine_up();
   }
@@ -417,46 +445,92 @@
   Database database;
 };
 
-TEST_F(DatabaseStory, ManyCallsShareOneConnection) {
+// One spoilt reply took all calls of a shared connection with it.
+TEST_F(DatabaseStory, CallsHaveConnectionsOfTheirOwnSoThatASpoiltReplyEndsOne) {
   service::ServerExchange& one = calling("a");
   service::ServerExchange& two = calling("b");
   database.call(one, "x", 250 * kMs);
+  Plain first = accept();
   database.call(two, "yz", 250 * kMs);
-  Plain peer = accept();
-  EXPECT_TRUE(comes(peer, "Q a 250 1\r\nx\r\nQ b 250 2\r\nyz\r\n"));
-  peer.write("b ROWS 2\r\nbb\r\na ROWS 2\r\naa\r\n");
-  EXPECT_TRUE(until([&] { return world.count("feed a aa") == 1 && world.count("feed b bb") == 1; }));
+  Plain second = accept();
+  EXPECT_TRUE(comes(first, "Q a 250 1\r\nx\r\n"));
+  EXPECT_TRUE(comes(second, "Q b 250 2\r\nyz\r\n"));
+  first.write("a ROWS 3000000000\r\nxx");
+  EXPECT_TRUE(until([&] { return one.call_lost; }));
+  second.write("b ROWS 2\r\nbb\r\n");
+  EXPECT_TRUE(until([&] { return world.count("feed b bb") == 1; }));
+}
+
+TEST_F(DatabaseStory, WithAllConnectionsTakenCallsShareThem) {
+  for (const char* id : {"a", "b", "c", "d", "e"}) database.call(calling(id), "x", 250 * kMs);
+  std::vector<Plain> peers;
+  for (int i = 0; i < 4; ++i) peers.push_back(accept());
+  turn(20 * kMs);
   EXPECT_LT(listener.accept(), 0);
 }
 
+TEST_F(DatabaseStory, ALineThatDoesNotEndEndsItsCallSoon) {
+  service::ServerExchange& ex = calling("a");
+  database.call(ex, "x", 60 * kSecond);
+  Plain peer = accept();
+  peer.write("a ROWS 20\r\nshort");
+  EXPECT_TRUE(until([&] { return ex.call_lost; }));
+}
+
+// The exchange calls again: a copy of its first reply must not be taken for the second call's.
+TEST_F(DatabaseStory, ASecondCopyOfAReplyIsNotTheNextCalls) {
+  service::ServerExchange& ex = calling("a");
+  database.call(ex, "first", 250 * kMs);
+  Plain one = accept();
+  one.write("0123456789abcdef ROWS 1\r\nn\r\na ROWS 3\r\nold\r\n");
+  ASSERT_TRUE(until([&] { return world.count("feed a old") == 1; }));
+  ex.calling = true;
+  database.call(ex, "second", 250 * kMs);
+  Plain two = accept();
+  one.offer("a ROWS 3\r\nold\r\n");
+  turn(20 * kMs);
+  EXPECT_EQ(world.count("feed a old"), 1);
+}
+
 TEST_F(DatabaseStory, AReplyThatCrossesAGiveUpIsNotTheNextCalls) {
   service::ServerExchange& ex = calling("a");
   database.call(ex, "first", 250 * kMs);
   Plain one = accept();
   database.give_up(ex);
-  EXPECT_TRUE(comes(one, "X a\r\n"));
   database.call(ex, "second", 250 * kMs);
   Plain two = accept();
-  one.write("a ROWS 3\r\nold\r\n");
+  one.offer("a ROWS 3\r\nold\r\n");
   turn(20 * kMs);
   EXPECT_EQ(world.count("feed a old"), 0);
   two.write("a ROWS 3\r\nnew\r\n");
   EXPECT_TRUE(until([&] { return world.count("feed a new") == 1; }));
 }
 
-TEST_F(DatabaseStory, AConnectionClosedForIdlenessIsOpenedAnew) {
-  service::ServerExchange& one = calling("a");
-  database.call(one, "x", 250 * kMs);
+TEST_F(DatabaseStory, AConnectionIsUsedAgainOnlySoonAfterItsLastCall) {
+  database.call(calling("a"), "x", 250 * kMs);
   Plain first = accept();
-  EXPECT_TRUE(comes(first, "Q a"));
   first.write("a ROWS 1\r\nr\r\n");
   EXPECT_TRUE(until([&] { return world.count("feed a r") == 1; }));
-  first.close();
-  EXPECT_TRUE(until([&] { return logged("database connection ended: peer-closed"); }));
-  service::ServerExchange& two = calling("b");
-  database.call(two, "y", 250 * kMs);
+  database.call(calling("b"), "y", 250 * kMs);
+  EXPECT_TRUE(comes(first, "Q b"));
+  first.write("b ROWS 1\r\nr\r\n");
+  EXPECT_TRUE(comes(first, "(end)"));
+  database.call(calling("c"), "z", 250 * kMs);
   Plain second = accept();
-  EXPECT_TRUE(comes(second, "Q b"));
+  EXPECT_TRUE(comes(second, "Q c"));
+}
+
+TEST_F(DatabaseStory, MovedItCallsElsewhereAndWhatIsOutEndsWhereItIs) {
+  database.call(calling("a"), "x", 250 * kMs);
+  Plain old = accept();
+  Plain elsewhere;
+  database.move(at_port(elsewhere.listen()));
+  database.call(calling("b"), "y", 250 * kMs);
+  Plain moved = accepted_by(elsewhere);
+  EXPECT_TRUE(comes(moved, "Q b"));
+  old.write("a ROWS 1\r\nr\r\n");
+  EXPECT_TRUE(until([&] { return world.count("feed a r") == 1; }));
+  EXPECT_TRUE(comes(old, "(end)"));
 }
 
 TEST_F(DatabaseStory, ARefusedConnectionProvesThatNothingRanAndABreakDoesNot) {
@@ -482,14 +556,16 @@
     socklen_t size = sizeof address;
     ::bind(members, reinterpret_cast<sockaddr*>(&address), size);
     ::getsockname(members, reinterpret_cast<sockaddr*>(&address), &size);
-    auto at = [](int there) { return "\"127.0.0.1:" + std::to_string(there) + "\""; };
     char path[] = "/tmp/myrtlecroft-XXXXXX";
     ::close(mkstemp(path));
     config = path;
+    write_config(listener.listen(), ntohs(address.sin_port));
+  }
+  void write_config(int engine, int membership) const {
+    auto at = [](int there) { return "\"127.0.0.1:" + std::to_string(there) + "\""; };
     std::ofstream(config)
         << R"({"name":"n7","seed":"a1","stop_ms":1500,"limits":{"memory_mb":64},"listen":)" << at(port)
-        << ",\"engine\":" << at(listener.listen()) << ",\"db\":" << at(free_port())
-        << ",\"members\":" << at(ntohs(address.sin_port))
+        << ",\"engine\":" << at(engine) << ",\"db\":" << at(free_port()) << ",\"members\":" << at(membership)
         << R"(,"settings":{"classes":[{"name":"read","effect":"idempotent","gain":1,"goalTimeNs":2000000000,)"
         << R"("hardLimitNs":5000000000}],"familyInfo":{"nCores":2,"ramKb":50000,"meters":["core_use"]},)"
         << R"("limits":{},"rules":{"overloadFactor":5,"overloadForNs":1000000000,"drainGraceNs":200000000}}})";
@@ -571,6 +647,26 @@
   EXPECT_EQ(exit_code(), 0);
 }
 
+// SIGHUP ended the process. A file that makes no sense leaves all as it was.
+TEST_F(ProgramStory, ReloadMovesTheEngineAndABadFileChangesNothing) {
+  start();
+  int socket = -1;
+  ASSERT_TRUE(until([&] { return socket >= 0 || (socket = listener.accept()) >= 0; }));
+  Plain engine(socket);
+  ASSERT_TRUE(comes(engine, "ATTACH"));
+  std::ofstream(config) << "{ no file";
+  kill(process, SIGHUP);
+  usleep(100'000);
+  EXPECT_EQ(engine.read(), "");
+  Plain elsewhere;
+  write_config(elsewhere.listen(), 9);
+  kill(process, SIGHUP);
+  int moved = -1;
+  ASSERT_TRUE(until([&] { return moved >= 0 || (moved = elsewhere.accept()) >= 0; }));
+  Plain again(moved);
+  EXPECT_TRUE(comes(again, "ATTACH"));
+}
+
 TEST_F(ProgramStory, AConfigThatMakesNoSenseEndsTheStartWithOne) {
   std::ofstream(config) << "{\"name\":\"n7\"}";
   start();
