Exchanges are checked against the protocol; a key is bound to its body; bad callers are let go

Checked: the log of malformed exchanges and of RUNs that the engine answered with NO: the same few ids came up to 13 times each; all links and descriptors held (402 of 512). Ruled out: results that crossed between exchanges of balancers. At fault: Front::exchange_of took unknown tenants, ranks, waits and expected times out of range; Service::find_prior matched a key without its body; nothing ended a connection that went on so. Now what is out of the protocol's range is terminated unrun, tries of a key must carry one body, and a connection that brought three unfounded exchanges is ended. A fake key binds nobody else: the body is part of the name; once the engine has shown that it knows the one, another body is turned away at once.

--- a/src/net/fastcgi.cpp
+++ b/src/net/fastcgi.cpp
@@ -22,8 +22,8 @@
 constexpr std::size_t kHeader = 8;
 constexpr std::size_t kBeginBody = 8;
 constexpr std::size_t kMostOpen = 32;           // on one connection
-constexpr std::size_t kMostParameters = 8'192;  // bytes of one request
-constexpr std::size_t kMostBody = 4'096;
+constexpr std::size_t kMostParameters = 8'192;  // bytes of one request; no record needs more
+constexpr std::size_t kMostBody = 2'048;
 constexpr std::size_t kMostOutput = 65'528;  // of one record, a multiple of 8
 constexpr std::uint8_t kKeepConnection = 1;
 constexpr std::uint16_t kResponder = 1;
@@ -96,7 +96,7 @@
     std::string_view rest = bytes.substr(taken);
     std::size_t length = short_at(rest, 4);
     std::size_t whole = kHeader + length + byte_at(rest, 6);
-    if (byte_at(rest, 0) != kVersion) return malformed = true, taken;
+    if (byte_at(rest, 0) != kVersion || length > kMostParameters) return malformed = true, taken;
     if (rest.size() < whole) break;
     taken += whole;
     if (!record(byte_at(rest, 1), short_at(rest, 2), rest.substr(kHeader, length))) {
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -24,7 +24,10 @@
 constexpr std::string_view kPath = "/api/v2/";
 constexpr std::string_view kHealthPath = "/-/healthy";
 constexpr std::size_t kIdDigits = 16;
-constexpr int kBacklog = 1024;  // connections that wait to be accepted
+constexpr int kMostUnfounded = 3;  // of one connection; it is ended then
+constexpr std::size_t kLongestKey = 64;
+constexpr double kMostReserve = 2'000;  // KB
+constexpr int kBacklog = 1024;          // connections that wait to be accepted
 
 template <class Number>
 bool read_number(std::string_view text, Number& out) {
@@ -32,9 +35,15 @@
   return !text.empty() && error == std::errc() && end == text.data() + text.size();
 }
 
-bool is_id(std::string_view text) {
-  return text.size() == kIdDigits &&
-         text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+bool is_hex(std::string_view text) {
+  return text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+// What is absent is no figure out of range; what is there must be a number of the protocol's.
+template <class Number>
+bool number_fits(std::string_view text, Number least, Number below) {
+  Number number{};
+  return text.empty() || (read_number(text, number) && number >= least && number < below);
 }
 
 std::string output_of(const service::FinalAnswer& answer) {
@@ -79,6 +88,7 @@
   Connection& connection() { return connection_; }
 
   std::size_t came(Connection&, std::string_view bytes) override {
+    if (unfounded_ >= kMostUnfounded) return bytes.size();
     bool malformed = false;
     std::size_t taken = reader_.take(bytes, malformed);
     left_over_ = taken < bytes.size();
@@ -116,6 +126,9 @@
     connection_.write(answer_records(open.id, output_of(answer), ProtocolStatus::kComplete));
     last_ |= !open.keep;
     open_.erase(open.id);
+    completed_ |= answer.kind == service::Answer::kCompleted;
+    if (answer.unfounded) ++unfounded_;
+    if (unfounded_ >= kMostUnfounded && (!completed_ || open_.empty())) connection_.part(Reason::kMalformed);
     if (last_ && open_.empty()) connection_.part(Reason::kDone);
     front_.place(*this);
   }
@@ -134,6 +147,8 @@
   bool left_over_ = false;
   bool asked_ = false;  // a whole request has come
   bool last_ = false;   // a request asked not to keep the connection
+  bool completed_ = false;
+  int unfounded_ = 0;  // exchanges that made no sense, to us or to the engine
 };
 
 void Front::OpenRequest::answer(const service::FinalAnswer& answer) { peer.answered(*this, answer); }
@@ -151,7 +166,7 @@
   if (!ex) {
     front_.log_.frequent("exchange malformed: path '" + std::string(script.substr(0, 60)) + "', id '" +
                          std::string(request.field("HTTP_TRACE_ID").substr(0, 20)) + "'");
-    answered(open, {});
+    answered(open, {.unfounded = true});
     return;
   }
   ex->sink = &open;
@@ -167,25 +182,28 @@
   std::int64_t longest = 0;
   double hint = 0;
   auto ex = std::make_unique<service::ServerExchange>();
-  if (!script.starts_with(kPath) || !is_id(id)) return nullptr;
+  if (!script.starts_with(kPath) || id.size() != kIdDigits || !is_hex(id)) return nullptr;
   for (const EndpointGroup& group : service_->terms().groups) {
     if (group.name == script.substr(kPath.size())) ex->group = &group;
   }
+  std::string_view project = request.field("HTTP_PROJECT");
   for (const Customer& customer : service_->terms().customers) {
-    if (customer.name == request.field("HTTP_PROJECT")) ex->customer = &customer;
+    if (customer.name == project) ex->customer = &customer;
   }
+  if (!ex->group || (!ex->customer && !project.empty() && !service_->terms().customers.empty()))
+    return nullptr;
   std::int64_t stamp = Loop::unix_now();
-  bool good = ex->group && read_number(request.field("HTTP_ACCEPTED_AT_MS"), accepted) && accepted > 0 &&
+  bool good = read_number(request.field("HTTP_ACCEPTED_AT_MS"), accepted) &&
               std::abs(accepted - stamp / kMs) < kClocksApart &&
               read_number(request.field("HTTP_RESERVE_KB"), ex->held_kb) && ex->held_kb > 0 &&
-              std::isfinite(ex->held_kb);
+              ex->held_kb < kMostReserve &&
+              number_fits<std::int64_t>(request.field("HTTP_CLIENT_NO"), 0, INT64_MAX) &&
+              number_fits(request.field("HTTP_STANDING"), 0.0, 1.0) &&
+              number_fits<std::int64_t>(request.field("HTTP_MAX_WAIT_MS"), 1, kClocksApart) &&
+              number_fits(request.field("HTTP_EXPECTED_MS"), 0.0, 1e9);
   if (!good) return nullptr;
-  if (std::string_view wait = request.field("HTTP_MAX_WAIT_MS"); !wait.empty()) {
-    if (!read_number(wait, longest) || longest < -kClocksApart || longest > kClocksApart) return nullptr;
-  }
-  if (read_number(request.field("HTTP_EXPECTED_MS"), hint) && hint > 0 && hint < 1e9) {
-    ex->work_hint = static_cast<Nanos>(hint * 1e6);
-  }
+  read_number(request.field("HTTP_MAX_WAIT_MS"), longest);
+  if (read_number(request.field("HTTP_EXPECTED_MS"), hint)) ex->work_hint = static_cast<Nanos>(hint * 1e6);
   Nanos now = loop_.now();
   Nanos arrived = now - (stamp - accepted * kMs);
   ex->arrived = std::min(arrived, now);
@@ -195,7 +213,7 @@
   ex->has_subject = !subject.empty();
   if (ex->group->effect == Effect::kRepeatable && service_->terms().fresh_for > 0) ex->key = subject;
   if (deduplicated) ex->key = request.field("HTTP_REPLAY_KEY");
-  if (deduplicated && ex->key.empty()) return nullptr;
+  if (deduplicated && (ex->key.empty() || ex->key.size() > kLongestKey || !is_hex(ex->key))) return nullptr;
   ex->id = id;
   ex->body = std::move(request.body);
   return ex;
--- a/src/service/key_table.cpp
+++ b/src/service/key_table.cpp
@@ -7,6 +7,14 @@
   return place == entries_.end() ? nullptr : &place->second;
 }
 
+bool KeyTable::taken(const EndpointGroup* group, const std::string& beginning) const {
+  for (auto place = entries_.lower_bound({group, beginning}); place != entries_.end(); ++place) {
+    if (place->first.first != group || !place->first.second.starts_with(beginning)) return false;
+    if (place->second.proven) return true;
+  }
+  return false;
+}
+
 void KeyTable::keep(ServerExchange& ex, Nanos expires) {
   KeyEntry& entry = entries_[{ex.group, ex.key}];
   by_end_.erase({entry.expires, &entry});
@@ -18,6 +26,7 @@
 
 void KeyTable::end(KeyEntry& entry, bool good, std::string_view result, Nanos now) {
   entry.ended = now;
+  entry.proven = true;
   entry.state = KeyEntry::State::kFailed;
   if (!good || bytes_ + result.size() > most_bytes_) return;
   entry.state = KeyEntry::State::kOk;
--- a/src/service/key_table.h
+++ b/src/service/key_table.h
@@ -18,6 +18,7 @@
   ServerExchange* holder = nullptr;  // the try that runs or waits to; null once that is over
   State state = State::kOpen;
   std::string result{};
+  bool proven = false;  // the engine knows what it stands for
   Nanos ended = 0;
   Nanos expires = 0;
   std::vector<ServerExchange*> waiters{};  // repeats that want its result
@@ -30,6 +31,8 @@
   explicit KeyTable(std::size_t result_bytes) : most_bytes_(result_bytes) {}
 
   KeyEntry* find(const EndpointGroup* group, const std::string& key);
+  // Whether another exchange, one that is proven, goes by a key that begins so.
+  bool taken(const EndpointGroup* group, const std::string& beginning) const;
   void keep(ServerExchange& ex, Nanos expires);
   void end(KeyEntry& entry, bool good, std::string_view result, Nanos now);
   void drop(KeyEntry& entry);
--- a/src/service/server_exchange.h
+++ b/src/service/server_exchange.h
@@ -17,6 +17,7 @@
   std::string_view result{};  // of a completed one
   bool not_elsewhere = false;
   Nanos stay_away = 0;
+  bool unfounded = false;  // the engine knows of no such request, or another one owns its id or key
 };
 
 // Where the one final answer goes. It must not call back.
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -59,17 +59,27 @@
   take([&] {
     ServerExchange& ex = *given;
     ++unanswered_;
-    if (!controller_ || exchanges_.contains(ex.id)) {
-      // Nothing can run before the engine is up. An id that is in hand already has, or gets, its answer.
-      answer(ex, {.kind = controller_ ? Answer::kTerminated : Answer::kDenied});
-      return;
-    }
+    // Nothing can run before the engine is up. An id that is in hand already has, or gets, its answer.
+    if (!controller_) return answer(ex, {.kind = Answer::kDenied});
+    auto same = exchanges_.find(ex.id);
+    if (same != exchanges_.end()) return answer(ex, {.unfounded = same->second->sink != nullptr});
+    if (!name_key(ex)) return answer(ex, {.unfounded = true});
     exchanges_.emplace(ex.id, std::move(given));
     find_prior(ex);
     controller_->read(ex, now_);
   });
 }
 
+// Tries of one deduplicated exchange carry one key and one body. The body is part of what they go by here, so
+// that the same key with another body neither gets the result nor disturbs it. False where the key is known
+// to be another's.
+bool Service::name_key(ServerExchange& ex) {
+  if (ex.key.empty() || ex.group->effect != Effect::kDeduplicated) return true;
+  std::string beginning = ex.key + '/';
+  ex.key = beginning + std::to_string(std::hash<std::string>()(ex.body));
+  return keys_.find(ex.group, ex.key) || !keys_.taken(ex.group, beginning);
+}
+
 // The entry of a deduplicated exchange stands for as long as it is kept. That of a read is of use while it is
 // open, and for some time after it ended well.
 void Service::find_prior(ServerExchange& ex) {
@@ -132,7 +142,10 @@
 }
 
 void Service::run_needs_call(ServerExchange& ex) {
-  take([&] { controller_->reached_call(ex, now_); });
+  take([&] {
+    if (ex.entry && ex.entry->holder == &ex) ex.entry->proven = true;
+    controller_->reached_call(ex, now_);
+  });
 }
 
 void Service::run_ended(ServerExchange& ex, Outcome outcome, std::string_view result) {
@@ -156,7 +169,9 @@
 // The end of a run, or of the wait for another's result.
 void Service::end(ServerExchange& ex, Outcome outcome, std::string_view result) {
   bool good = outcome == Outcome::kOk;
-  answer(ex, {.kind = good ? Answer::kCompleted : Answer::kTerminated, .result = result});
+  answer(ex, {.kind = good ? Answer::kCompleted : Answer::kTerminated,
+              .result = result,
+              .unfounded = outcome == Outcome::kIgnored});
   controller_->settled(ex, outcome, now_);
 }
 
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -78,6 +78,7 @@
   void take(Step step);
   void end(ServerExchange& ex, Outcome outcome, std::string_view result);
   void answer(ServerExchange& ex, const FinalAnswer& answer);
+  bool name_key(ServerExchange& ex);
   void find_prior(ServerExchange& ex);
   void fail_waiters(KeyEntry& entry);
   void drop(KeyEntry& entry);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -162,6 +162,7 @@
 struct Caller : service::AnswerSink {
   void answer(const service::FinalAnswer& given) override {
     using service::Answer;
+    unfounded = given.unfounded;
     answers.push_back(given.kind == Answer::kCompleted ? "completed " + std::string(given.result)
                       : given.kind == Answer::kDenied  ? "denied"
                                                        : "terminated");
@@ -169,6 +170,7 @@
   std::string only() const { return answers.size() == 1 ? answers[0] : std::to_string(answers.size()); }
   service::ServerExchange* ex = nullptr;
   std::vector<std::string> answers;
+  bool unfounded = false;
 };
 
 // All ports of one server. The engine's end of the link is played by the story.
@@ -200,13 +202,13 @@
   }
 
   Caller& read(const std::string& id, Group group = kReadGroup, const std::string& key = "",
-               Nanos longest = 2 * kSecond) {
+               Nanos longest = 2 * kSecond, const std::string& body = "") {
     auto ex = std::make_unique<service::ServerExchange>();
     Caller& caller = callers.emplace_back();
     caller.ex = ex.get();
     ex->id = id;
     ex->key = key;
-    ex->body = "body of " + id;
+    ex->body = body.empty() ? "body of " + (key.empty() ? id : key) : body;
     ex->group = &service.terms().groups[static_cast<std::size_t>(group)];
     ex->held_kb = 10;
     ex->arrived = time;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -129,7 +129,10 @@
     out += static_cast<char>(content.size());
     return out + std::string(2, '\0') + content;
   }
-  static std::string request(int id, const std::string& script, const std::string& trace, int flags = 1) {
+  using Pairs = std::vector<std::pair<std::string, std::string>>;
+  // What is given last stands.
+  static std::string request(int id, const std::string& script, const std::string& trace, int flags = 1,
+                             const Pairs& more = {}) {
     std::string fields;
     auto add = [&](const std::string& name, const std::string& value) {
       fields += static_cast<char>(name.size());
@@ -142,6 +145,7 @@
     add("HTTP_ACCEPTED_AT_MS", std::to_string(Loop::unix_now() / kMs));
     add("HTTP_MAX_WAIT_MS", "60000");
     add("HTTP_RESERVE_KB", "24.5");
+    for (const auto& [name, value] : more) add(name, value);
     return record(1, id, {0, 1, static_cast<char>(flags), 0, 0, 0, 0, 0}) + record(4, id, fields) +
            record(4, id, "") + record(5, id, "body") + record(5, id, "");
   }
@@ -194,6 +198,31 @@
   EXPECT_TRUE(comes(peer, "Status: 200"));
 }
 
+// Such exchanges were taken and completed, or held places until the engine turned them away.
+TEST_F(FrontStory, WhatIsOutOfTheProtocolsRangeIsTerminatedUnrun) {
+  const FrontStory::Pairs wrong = {
+      {"HTTP_PROJECT", "nobody"}, {"HTTP_RESERVE_KB", "2000"}, {"HTTP_RESERVE_KB", "nan"},
+      {"HTTP_STANDING", "1.5"},   {"HTTP_EXPECTED_MS", "-3"},  {"HTTP_MAX_WAIT_MS", "99999999999999999999"},
+      {"HTTP_MAX_WAIT_MS", "-5"}, {"HTTP_CLIENT_NO", "one"},   {"HTTP_ACCEPTED_AT_MS", "-1"},
+      {"HTTP_TRACE_ID", ""}};
+  for (const auto& pair : wrong) {
+    Plain peer = connected();
+    peer.write(request(1, "/api/v2/read", first, 1, {pair}));
+    EXPECT_TRUE(comes(peer, "Status: 500")) << pair.first;
+  }
+  EXPECT_EQ(world.count("run " + first), 0);
+}
+
+TEST_F(FrontStory, ACallerThatGoesOnWithWhatIsUnfoundedIsLetGo) {
+  Plain peer = connected();
+  for (int i = 1; i <= 3; ++i) peer.write(request(i, "/api/v2/read", "00000000000000a" + std::to_string(i)));
+  ASSERT_TRUE(until([&] { return world.count("run 00000000000000a2") == 1; }));
+  for (int i = 1; i <= 3; ++i)
+    world.service.engine().not_carried_out("RUN", "00000000000000a" + std::to_string(i));
+  EXPECT_TRUE(comes(peer, "(end)"));
+  EXPECT_TRUE(until([&] { return logged("ended: malformed"); }));
+}
+
 TEST_F(FrontStory, OnlyConnectionsWithNothingOpenAreClosedAsIdle) {
   Plain busy = connected();
   Plain idle = connected();
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -89,6 +89,30 @@
   EXPECT_EQ(world.read("b", kWriteGroup, "key").only(), "terminated");
 }
 
+// A caller that sent another's key with a body of its own was given the other's result.
+TEST(Keys, AnotherBodyUnderAKnownKeyGetsAnErrorAndDisturbsNothing) {
+  FakeWorld world;
+  world.engine_up();
+  Caller& first = world.read("a", kWriteGroup, "key");
+  world.done("a", Outcome::kOk, "once");
+  EXPECT_EQ(first.only(), "completed once");
+  Caller& other = world.read("b", kWriteGroup, "key", 2 * kSecond, "another body");
+  EXPECT_EQ(other.only(), "terminated");
+  EXPECT_TRUE(other.unfounded);
+  EXPECT_EQ(world.read("c", kWriteGroup, "key").only(), "completed once");
+}
+
+TEST(Keys, AKeyTakenByWhatTheEngineDoesNotKnowBindsNoOther) {
+  FakeWorld world;
+  world.engine_up();
+  Caller& fake = world.read("a", kWriteGroup, "key", 2 * kSecond, "another body");
+  Caller& real = world.read("b", kWriteGroup, "key");
+  world.service.engine().not_carried_out("RUN", "a");
+  EXPECT_TRUE(fake.unfounded);
+  world.done("b", Outcome::kOk, "once");
+  EXPECT_EQ(real.only(), "completed once");
+}
+
 TEST(Keys, OneThatLeftTheHoldUnrunBindsNoRepeat) {
   FakeWorld world;
   world.engine_up();
