Commands in doubt over a link break are sent again where calls seen make that certain

Checked against the protocol: past the gauges that close the backlog a run that arrived is running or has asked for its call; it can't be over where runs of its group always call, and can't be at another call where they call once. Ruled out: sending all again, as a run without calls could end in between. At fault: EngineSession::settle sent neither; Front::make_room closed the oldest that had brought nothing, also with bytes waiting. Now the calls that runs of each group were seen to make (20 at least) decide; a reply that can't be sent again becomes a skip where calls may be left out. In a crowd those with bytes waiting stay, and one has 0.1 s for its first request.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -24,7 +24,8 @@
 constexpr std::string_view kPath = "/api/v2/";
 constexpr std::string_view kHealthPath = "/-/healthy";
 constexpr std::size_t kIdDigits = 16;
-constexpr int kMostUnfounded = 3;  // of one connection; it is ended then
+constexpr Nanos kFirstGrace = 100 * kMs;  // between a connect and its first request, when there is a crowd
+constexpr int kMostUnfounded = 3;         // of one connection; it is ended then
 constexpr std::size_t kLongestKey = 64;
 constexpr double kMostReserve = 2'000;  // KB
 constexpr int kBacklog = 1024;          // connections that wait to be accepted
@@ -271,19 +272,20 @@
 }
 
 // Balancers need half of the descriptors at most: what takes more are callers that keep a connection for
-// good, or say nothing. Those that have not brought a whole request go first, then what has been idle
-// longest. Harm: a caller that would have come again connects anew. False when all are in use.
+// good, or say nothing. Those that have had time for a whole request and brought none go first, then what has
+// been idle longest, then those that just came. Harm: a caller that would have come again connects anew.
+// False when all are in use.
 bool Front::make_room() {
-  if (!begun_.empty() && begun_.front() != peers_.back().get()) {
-    begun_.front()->connection().end(Reason::kCrowded);
-    return leave_list(*begun_.front()), true;
-  }
-  for (BalancerConnection* peer : idle_) {
-    if (peer->connection().unread()) continue;
-    peer->connection().part(Reason::kCrowded);
-    return leave_list(*peer), true;
-  }
-  return false;
+  auto let_go = [this](std::list<BalancerConnection*>& list, Nanos least) {
+    for (BalancerConnection* peer : list) {
+      if (loop_.now() - peer->since < least) return false;
+      if (peer->connection().unread()) continue;
+      peer->connection().end(Reason::kCrowded);
+      return leave_list(*peer), true;
+    }
+    return false;
+  };
+  return let_go(begun_, kFirstGrace) || let_go(idle_, 0) || let_go(begun_, 0);
 }
 
 void Front::leave_list(BalancerConnection& peer) {
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace myrtlecroft::service {
+namespace {
+
+constexpr int kEnoughRuns = 20;  // of a group, for what is seen of its calls to count
+
+}  // namespace
 
 void EngineSession::run(ServerExchange& ex) {
   runs_.push_back(&ex);
@@ -87,6 +92,7 @@
     ex.payload = notice.payload;
     events_.run_needs_call(ex);
   } else {
+    if (notice.outcome == Outcome::kOk || notice.outcome == Outcome::kFailed) calls_[ex.group].add(ex.calls);
     events_.run_ended(ex, notice.outcome, notice.payload);
   }
 }
@@ -114,9 +120,7 @@
     } else if (!ex->sent) {
       send(*ex);
     } else if (ex->in_doubt) {
-      bool harmless = ex->command == Command::kSkip ||
-                      (ex->command == Command::kRun && ex->group->effect == Effect::kRepeatable);
-      if (harmless) {
+      if (can_send_again(*ex)) {
         send(*ex);
       } else if (ex->answered && ex->command == Command::kRun) {  // nobody waits for it to end or fall due
         events_.run_ended(*ex, Outcome::kFailed, "");
@@ -125,6 +129,23 @@
   }
 }
 
+// Of what is in doubt. A reply that can't be sent again becomes a skip, where calls may be left out.
+bool EngineSession::can_send_again(ServerExchange& ex) {
+  const Calls& seen = calls_[ex.group];
+  bool enough = seen.runs >= kEnoughRuns;
+  switch (ex.command) {
+    case Command::kRun:
+      return ex.group->effect == Effect::kRepeatable || (enough && seen.fewest >= 1 && !ex.answered);
+    case Command::kFeed:
+      if (enough && seen.most <= 1) return true;
+      if (ex.group->skip_benefit <= 0) return false;
+      ex.command = Command::kSkip;
+      return true;
+    default:
+      return ex.command == Command::kSkip;
+  }
+}
+
 // The engine does not know it: a run that was turned away so has not begun and never will. A site that allows
 // no test leaves the report alone to answer checks.
 void EngineSession::not_carried_out(std::string_view command, const std::string& id) {
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -4,11 +4,15 @@
 // After a break it is unknown which of the last commands arrived. A command is known to have arrived once
 // gauges asked for after it came back. On a new link nothing is sent before the backlog of notices is read,
 // which the gauges asked for right after HELLO close. Then what never went out is sent. Of what went out
-// unseen, a run of a repeatable exchange and a skip (it names its notice) are sent again; a run that must not
-// happen twice, and a reply that could be taken for the next call's, are not: they end by a notice or at
-// their due time.
+// unseen, a run of a repeatable exchange and a skip (it names its notice) are sent again. A run that must not
+// happen twice is, where runs of its group are seen to make a call always: it could not be over by now
+// without having asked for one. A reply is, where they are seen to make one call at most: it can't be taken
+// for the next call's; else the call is skipped where that is allowed. What is left ends by a notice or at
+// its due time.
 #pragma once
 
+#include <algorithm>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,11 +67,25 @@
   void give(ServerExchange& ex, Command command);
   void send(ServerExchange& ex);
   void settle();
+  bool can_send_again(ServerExchange& ex);
+
+  // How many calls the runs of a group were seen to make.
+  struct Calls {
+    int runs = 0;
+    int fewest = 0;
+    int most = 0;
+    void add(int calls) {
+      fewest = runs == 0 ? calls : std::min(fewest, calls);
+      most = std::max(most, calls);
+      ++runs;
+    }
+  };
 
   EnginePort& link_;
   EngineEvents& events_;
   std::vector<ServerExchange*> runs_;  // in the order they were started
   std::unordered_map<std::string, ServerExchange*> by_id_;
+  std::map<const EndpointGroup*, Calls> calls_;
   std::uint64_t last_notice_ = 0;
   std::uint64_t sent_ = 0;       // commands and questions so far
   std::uint64_t confirmed_ = 0;  // up to here all that was sent is known to have arrived
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -256,6 +256,39 @@
   EXPECT_EQ(caller.only(), "terminated");
 }
 
+// Over each break of the link some runs and replies that may not be sent twice were left to their due time.
+TEST(Link, WhereRunsAreSeenToCallOnceARunAndAReplyInDoubtAreSentAgain) {
+  FakeWorld world;
+  world.engine_up();
+  for (int i = 0; i < 30; ++i) {
+    std::string id = "before" + std::to_string(i);
+    Caller& caller = world.read(id, kCallerGroup, id);
+    world.need(id);
+    world.pass(100 * kMs);
+    world.service.replied(*caller.ex, Reply::kRows, "rows");
+    world.done(id);
+  }
+  world.pass(kSecond);
+  Caller& called = world.read("a", kCallerGroup, "key");
+  world.need("a");
+  world.service.replied(*called.ex, Reply::kRows, "rows");
+  world.read("b", kCallerGroup, "other");
+  world.relink();
+  EXPECT_EQ(world.count("feed a rows"), 2);
+  EXPECT_EQ(world.count("run b"), 2);
+}
+
+TEST(Link, AReplyInDoubtBecomesASkipWhereTheCallMayBeLeftOut) {
+  FakeWorld world;
+  world.engine_up();
+  Caller& caller = world.read("a", kSkipperGroup);
+  world.need("a");
+  world.service.replied(*caller.ex, Reply::kRows, "rows");
+  world.relink();
+  EXPECT_EQ(world.count("feed a rows"), 1);
+  EXPECT_EQ(world.count("skip a"), 1);
+}
+
 TEST(Link, ARunAnsweredBeforeItCouldGoOutNeverRuns) {
   FakeWorld world;
   world.engine_up();
