Bytes of all connections are bounded by the memory limit; health changes are repeated soon

Found by reading: 32 half requests of 8 KiB on each of hundreds of connections are far more than 32 MB; a quarter of the reports is lost, and a lost OUT cost half a second of a drain; database connections that end as they should took the log's allowance from all others (1,100 lines left out in 25 s). Now connections hold an eighth of the memory limit together and the one with most is let go; a change of health is sent four times in 0.3 s; connections that end as done have an allowance of their own.

--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -15,7 +15,7 @@
 constexpr std::int64_t kLongestStop = 86'400'000;  // ms
 constexpr std::int64_t kUsualDescriptors = 1024;   // where no limit is told
 constexpr std::int64_t kFewestDescriptors = 64;
-constexpr double kResultShare = 0.25;  // of the memory, for results kept by key
+constexpr std::size_t kResultShare = 4;  // one of so many parts of the memory, for results kept by key
 
 sockaddr_in address(object fields, std::string_view name) {
   std::string given = text(fields, name);
@@ -87,7 +87,8 @@
     launch.descriptors = static_cast<std::size_t>(descriptors);
     double memory_mb = number(limits, "memory_mb");
     if (memory_mb <= 0) bad("memory_mb", "is not above 0");
-    launch.start.result_bytes = static_cast<std::size_t>(kResultShare * memory_mb * 1024 * 1024);
+    launch.memory = static_cast<std::size_t>(memory_mb * 1024 * 1024);
+    launch.start.result_bytes = launch.memory / kResultShare;
     object settings = part(fields, "settings");
     launch.start.terms = read_terms(settings);
     launch.start.gauge_names = read_gauge_names(settings);
--- a/src/launch.h
+++ b/src/launch.h
@@ -16,6 +16,7 @@
   sockaddr_in members{};
   sockaddr_in database{};
   std::size_t descriptors = 0;
+  std::size_t memory = 0;  // bytes
   service::Service::Start start;
   std::string limits;    // as text, to see whether they differ in a file read again
   std::string settings;  // the same
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr std::size_t kFrontMemory = 8;     // one part of so many, for what balancers' connections hold
 constexpr std::size_t kOwnDescriptors = 4;  // one of so many is kept for what is not a balancer's connection
 
 void serve(const char* path, myrtlecroft::Launch launch) {
@@ -22,7 +23,7 @@
   net::Loop loop;
   net::Log log(loop);
   std::size_t own = launch.descriptors / kOwnDescriptors;
-  net::Front front(loop, log, launch.listen, launch.descriptors - own);
+  net::Front front(loop, log, launch.listen, launch.descriptors - own, launch.memory / kFrontMemory);
   net::EngineLink engine(loop, log, launch.engine);
   net::Database database(loop, log, launch.database, own / 2);
   net::Membership membership(loop, launch.name, launch.members);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -16,7 +16,7 @@
 
 // Bytes that a peer may leave unread: one that comes to us, and one that we depend on.
 constexpr std::size_t kMostUnread = std::size_t{1} << 18;
-constexpr std::size_t kMostUnreadBelow = std::size_t{1} << 23;
+constexpr std::size_t kMostUnreadBelow = std::size_t{1} << 21;
 constexpr std::size_t kKeptBuffer = 4096;  // an empty buffer larger than this is let go
 constexpr std::size_t kReadAtOnce = 65'536;
 constexpr Nanos kFlushing = 1'000'000'000;  // at most, for a peer that does not read
@@ -132,6 +132,10 @@
   end_alarm_.set(0);
 }
 
+std::size_t Connection::bytes_held() const {
+  return input_.size() + evbuffer_get_length(bufferevent_get_output(events_));
+}
+
 bool Connection::unread() const {
   int bytes = 0;
   return ::ioctl(bufferevent_getfd(events_), FIONREAD, &bytes) == 0 && bytes > 0;
@@ -153,8 +157,9 @@
 
 void Connection::count_end() {
   ending_ = true;
-  log_.frequent(what_ + " ended: " + code_of(reason_) + ", in " + std::to_string(bytes_in_) + " bytes, out " +
-                std::to_string(bytes_out_) + " bytes");
+  std::string line = what_ + " ended: " + code_of(reason_) + ", in " + std::to_string(bytes_in_) +
+                     " bytes, out " + std::to_string(bytes_out_) + " bytes";
+  reason_ == Reason::kDone ? log_.routine(line) : log_.frequent(line);
   owner_.ended(*this, reason_);
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -36,6 +36,7 @@
   void append(evbuffer* from);
   std::string_view bytes() const { return {data_.data() + begin_, end_ - begin_}; }
   void take(std::size_t count);
+  std::size_t size() const { return data_.size(); }
 
  private:
   std::vector<char> data_;
@@ -75,7 +76,8 @@
   // Its close is a reset: nothing stays behind of the many that are opened and closed by us.
   void leave_no_trace();
   bool parting() const { return parting_ || ending_; }
-  bool unread() const;  // something has come that was not looked at yet
+  std::size_t bytes_held() const;  // of memory, for what came in and what waits to go out
+  bool unread() const;             // something has come that was not looked at yet
   bool was_open() const { return open_; }
 
  private:
--- a/src/net/fastcgi.cpp
+++ b/src/net/fastcgi.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kMostParameters = 8'192;  // bytes of one request; no record needs more
 constexpr std::size_t kMostBody = 2'048;
 constexpr std::size_t kMostOutput = 65'528;  // of one record, a multiple of 8
+constexpr std::size_t kFieldCost = 128;      // bytes beside its text
 constexpr std::uint8_t kKeepConnection = 1;
 constexpr std::uint16_t kResponder = 1;
 
@@ -106,6 +107,15 @@
   return taken;
 }
 
+std::size_t CgiReader::bytes_held() const {
+  std::size_t bytes = 0;
+  for (const auto& [id, partial] : partial_) {
+    bytes += sizeof partial + partial.parameters.size() + partial.request.body.size();
+    for (const auto& [name, value] : partial.request.fields) bytes += kFieldCost + name.size() + value.size();
+  }
+  return bytes;
+}
+
 bool CgiReader::record(std::uint8_t type, std::uint16_t id, std::string_view content) {
   if (id == 0) return management(type, content);
   if (type == kBegin) return begin(id, content);
--- a/src/net/fastcgi.h
+++ b/src/net/fastcgi.h
@@ -40,6 +40,7 @@
   // or goes beyond the bounds, sets `malformed`.
   std::size_t take(std::string_view bytes, bool& malformed);
   bool assembling() const { return !partial_.empty(); }
+  std::size_t bytes_held() const;
 
  private:
   struct Partial {
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -139,6 +139,8 @@
   std::list<BalancerConnection*>::iterator place;
   std::list<std::unique_ptr<BalancerConnection>>::iterator own;
   Nanos since = 0;
+  std::size_t counted = 0;  // of bytes_held(), last time
+  std::size_t bytes_held() const { return connection_.bytes_held() + reader_.bytes_held(); }
 
  private:
   Front& front_;
@@ -220,13 +222,15 @@
   return ex;
 }
 
-Front::Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen, std::size_t most_connections)
+Front::Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen, std::size_t most_connections,
+             std::size_t most_bytes)
     : loop_(loop),
       log_(log),
       accept_again_(loop.base(), [this] { evconnlistener_enable(listener_.get()); }),
       sweep_(loop.base(), [this] { sweep(); }),
       finish_(loop.base(), [this] { finished_(); }),
-      most_connections_(most_connections) {
+      most_connections_(most_connections),
+      most_bytes_(most_bytes) {
   listener_.reset(evconnlistener_new_bind(loop.base(), accepted, this,
                                           LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, kBacklog,
                                           reinterpret_cast<const sockaddr*>(&listen), sizeof listen));
@@ -293,13 +297,29 @@
   peer.in_list = nullptr;
 }
 
+// Guards against callers that fill the memory with half requests, or by not reading. Who holds most is let
+// go. Harm: a balancer that does not read for long while many others hold much.
+void Front::count(BalancerConnection& peer) {
+  bytes_ -= std::exchange(peer.counted, peer.bytes_held());
+  bytes_ += peer.counted;
+  if (bytes_ <= most_bytes_) return;
+  BalancerConnection* largest = &peer;
+  for (auto& each : peers_) {
+    bool open = !each->connection().parting();
+    if (open && (largest->connection().parting() || each->counted > largest->counted)) largest = each.get();
+  }
+  largest->connection().end(Reason::kCrowded);
+}
+
 void Front::remove(BalancerConnection& peer) {
+  bytes_ -= peer.counted;
   leave_list(peer);
   peers_.erase(peer.own);
   if (finishing_ && peers_.empty()) finish_.set(0);
 }
 
 void Front::place(BalancerConnection& peer) {
+  count(peer);
   bool begun = peer.begun() && !peer.busy();
   if (begun && peer.in_list == &begun_ && !finishing_ && !peer.connection().parting()) return;
   leave_list(peer);
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -16,9 +16,10 @@
 
 class Front final : public service::FrontPort {
  public:
-  // Listens from here on, and holds at most about so many connections. Throws std::runtime_error when the
-  // address can't be had.
-  Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen, std::size_t most_connections);
+  // Listens from here on, and holds at most about so many connections, and bytes for all of them together.
+  // Throws std::runtime_error when the address can't be had.
+  Front(Loop& loop, service::LogPort& log, const sockaddr_in& listen, std::size_t most_connections,
+        std::size_t most_bytes);
   ~Front() override;
   // `finished` is told once, after finish(), when no connection is left.
   void serve(service::Service& service, std::function<void()> finished);
@@ -37,6 +38,7 @@
   void remove(BalancerConnection& peer);
   void place(BalancerConnection& peer);
   bool make_room();
+  void count(BalancerConnection& peer);
   void leave_list(BalancerConnection& peer);
   void sweep();
   void set_sweep();
@@ -59,7 +61,9 @@
   std::list<BalancerConnection*>
       begun_;  // none open, and the first or a further one not whole, longest so first
   std::size_t most_connections_;
-  Nanos idle_limit_ = 0;  // 0 = none
+  std::size_t most_bytes_;
+  std::size_t bytes_ = 0;  // of memory, in all connections
+  Nanos idle_limit_ = 0;   // 0 = none
   bool finishing_ = false;
   std::uint64_t count_ = 0;
 };
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -17,7 +17,7 @@
 }  // namespace
 
 Log::Log(const service::Clock& clock)
-    : clock_(clock), events_{kLinesPerSecond, kMostSaved}, frequent_(events_) {
+    : clock_(clock), events_{kLinesPerSecond, kMostSaved}, frequent_(events_), routine_(events_) {
   spdlog::init_thread_pool(kQueue, 1);
   out_ = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("myrtlecroft");
   out_->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -13,13 +13,14 @@
 namespace myrtlecroft::net {
 
 // At most so many lines a second on average, with some saved up; what is left out is counted and told. What
-// may come in storms has an allowance of its own, so that it crowds out nothing else.
+// may come in storms, and what ended as it should, have allowances of their own and crowd out nothing else.
 class Log final : public service::LogPort {
  public:
   explicit Log(const service::Clock& clock);
   ~Log() override;
   void line(const std::string& text) override { write(text, events_); }
   void frequent(const std::string& text) override { write(text, frequent_); }
+  void routine(const std::string& text) override { write(text, routine_); }
 
  private:
   struct Allowance {
@@ -34,6 +35,7 @@
   std::shared_ptr<spdlog::logger> out_;
   Allowance events_;
   Allowance frequent_;
+  Allowance routine_;
 };
 
 }  // namespace myrtlecroft::net
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -3,12 +3,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace myrtlecroft::net {
 namespace {
 
 constexpr Nanos kEvery = 500'000'000;  // an entry lapses after 3 s
+constexpr Nanos kSoon = 100'000'000;   // a change is repeated at once: its datagram may be lost
+constexpr int kRepeats = 3;
 
 }  // namespace
 
@@ -25,11 +28,13 @@
 void Membership::report(bool good) {
   good_ = good;
   reporting_ = true;
+  repeats_ = kRepeats;
   send();
 }
 
 void Membership::move(const sockaddr_in& service) {
   service_ = service;
+  repeats_ = kRepeats;
   if (reporting_) send();
 }
 
@@ -37,7 +42,8 @@
   std::string line = "HB " + name_ + (good_ ? " UP" : " OUT");
   ::sendto(socket_, line.data(), line.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr*>(&service_),
            sizeof service_);
-  again_.set(kEvery);
+  again_.set(repeats_-- > 0 ? kSoon : kEvery);
+  repeats_ = std::max(0, repeats_);
 }
 
 }  // namespace myrtlecroft::net
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -24,6 +24,7 @@
   int socket_;
   bool good_ = false;
   bool reporting_ = false;
+  int repeats_ = 0;
   Alarm again_;
 };
 
--- a/src/service/ports.h
+++ b/src/service/ports.h
@@ -53,6 +53,7 @@
   virtual ~LogPort() = default;
   virtual void line(const std::string& text) = 0;
   virtual void frequent(const std::string& text) = 0;  // may come in storms, and is then left out first
+  virtual void routine(const std::string& text) = 0;   // the same for what ended as it should
 };
 
 struct Ports {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -257,6 +257,7 @@
   void report(bool good) override { healthy = good; }
   void line(const std::string&) override {}
   void frequent(const std::string&) override {}
+  void routine(const std::string&) override {}
 
   Nanos time = 100 * kSecond;
   Nanos alarm = 0;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -81,6 +81,7 @@
 struct NetStory : testing::Test, service::LogPort {
   void line(const std::string& text) override { lines.push_back(text); }
   void frequent(const std::string& text) override { lines.push_back(text); }
+  void routine(const std::string& text) override { lines.push_back(text); }
   bool logged(const std::string& part) const {
     for (const std::string& each : lines) {
       if (each.find(part) != std::string::npos) return true;
@@ -119,7 +120,7 @@
 // ---- Front
 
 struct FrontStory : NetStory {
-  FrontStory() : port(free_port()), front(loop, *this, at_port(port), 12) {
+  FrontStory() : port(free_port()), front(loop, *this, at_port(port), 12, 300'000) {
     world.engine_up();
     front.serve(world.service, [this] { finished = true; });
   }
@@ -336,6 +337,20 @@
   EXPECT_TRUE(comes(first_come, "Status: 200"));
 }
 
+TEST_F(FrontStory, HalfRequestsThatFillTheMemoryEndTheirConnection) {
+  Plain peers[] = {connected(), connected()};
+  Plain good = connected();
+  good.write(request(1, "/api/v2/read", first));
+  const std::string begin = std::string("\0\1\1\0\0\0\0\0", 8);
+  for (int id = 1; id <= 30; ++id) {
+    for (Plain& peer : peers) peer.offer(record(1, id, begin) + record(4, id, std::string(8000, 'x')));
+    turn(kMs);
+  }
+  EXPECT_TRUE(until([&] { return logged("ended: crowded"); }));
+  world.done(first);
+  EXPECT_TRUE(comes(good, "Status: 200"));
+}
+
 TEST_F(FrontStory, OneThatNeverBringsAWholeRequestIsClosedInTime) {
   Plain silent = connected();
   Plain half = connected();
