A balancer is let go only for what the engine does not know, with nothing completed between

And half a line of the engine was dropped while a new link was being opened (EngineLink::came). Now only the engine's NO and what is out of range count, a completed answer takes the count back, nothing is left unread; the old engine link is read on until the new one takes over; a reload that names the same engine changes nothing there. A wait of 0 is a wait.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -193,7 +193,9 @@
   } else if (what & BEV_EVENT_EOF) {
     self->end(Reason::kPeerClosed);
   } else if (what & BEV_EVENT_ERROR) {
-    self->end(reason_of(EVUTIL_SOCKET_ERROR(), self->open_));
+    int error = EVUTIL_SOCKET_ERROR();
+    if (!self->open_ && error != ECONNREFUSED) self->what_ += std::string(" (") + std::strerror(error) + ")";
+    self->end(reason_of(error, self->open_));
   }
 }
 
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -56,6 +56,7 @@
 }
 
 void EngineLink::move(const sockaddr_in& engine) {
+  if (engine.sin_port == engine_.sin_port && engine.sin_addr.s_addr == engine_.sin_addr.s_addr) return;
   engine_ = engine;
   next_.reset();
   again_.clear();
@@ -121,10 +122,8 @@
     if (std::exchange(bad_after_, session_->last_notice() + 1) == session_->last_notice() + 1) continue;
     connection.end(Reason::kMalformed);
   }
-  if (next_ && session_->nothing_on_its_way()) {
-    hand_over();
-    return bytes.size();
-  }
+  if (paused_ && session_->nothing_on_its_way()) hand_over();
+  if (connection.parting()) return bytes.size();
   if (bytes.size() - taken > kLongestLine) {
     log_.frequent("engine line too long, left out");
     skipping_ = true;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -89,7 +89,6 @@
   Connection& connection() { return connection_; }
 
   std::size_t came(Connection&, std::string_view bytes) override {
-    if (unfounded_ >= kMostUnfounded) return bytes.size();
     bool malformed = false;
     std::size_t taken = reader_.take(bytes, malformed);
     left_over_ = taken < bytes.size();
@@ -127,9 +126,8 @@
     connection_.write(answer_records(open.id, output_of(answer), ProtocolStatus::kComplete));
     last_ |= !open.keep;
     open_.erase(open.id);
-    completed_ |= answer.kind == service::Answer::kCompleted;
-    if (answer.unfounded) ++unfounded_;
-    if (unfounded_ >= kMostUnfounded && (!completed_ || open_.empty())) connection_.part(Reason::kMalformed);
+    if (answer.kind == service::Answer::kCompleted) unfounded_ = 0;
+    if (answer.unfounded && ++unfounded_ >= kMostUnfounded) connection_.part(Reason::kMalformed);
     if (last_ && open_.empty()) connection_.part(Reason::kDone);
     front_.place(*this);
   }
@@ -150,8 +148,7 @@
   bool left_over_ = false;
   bool asked_ = false;  // a whole request has come
   bool last_ = false;   // a request asked not to keep the connection
-  bool completed_ = false;
-  int unfounded_ = 0;  // exchanges that made no sense, to us or to the engine
+  int unfounded_ = 0;   // exchanges since the last completed one that made no sense, to us or to the engine
 };
 
 void Front::OpenRequest::answer(const service::FinalAnswer& answer) { peer.answered(*this, answer); }
@@ -202,15 +199,14 @@
               ex->held_kb < kMostReserve &&
               number_fits<std::int64_t>(request.field("HTTP_CLIENT_NO"), 0, INT64_MAX) &&
               number_fits(request.field("HTTP_STANDING"), 0.0, 1.0) &&
-              number_fits<std::int64_t>(request.field("HTTP_MAX_WAIT_MS"), 1, kClocksApart) &&
+              number_fits<std::int64_t>(request.field("HTTP_MAX_WAIT_MS"), 0, kClocksApart) &&
               number_fits(request.field("HTTP_EXPECTED_MS"), 0.0, 1e9);
   if (!good) return nullptr;
-  read_number(request.field("HTTP_MAX_WAIT_MS"), longest);
   if (read_number(request.field("HTTP_EXPECTED_MS"), hint)) ex->work_hint = static_cast<Nanos>(hint * 1e6);
   Nanos now = loop_.now();
   Nanos arrived = now - (stamp - accepted * kMs);
   ex->arrived = std::min(arrived, now);
-  if (longest != 0) ex->gives_up_at = arrived + longest * kMs;
+  if (read_number(request.field("HTTP_MAX_WAIT_MS"), longest)) ex->gives_up_at = arrived + longest * kMs;
   bool deduplicated = ex->group->effect == Effect::kDeduplicated;
   std::string_view subject = request.field("HTTP_LOOKUP_KEY");
   ex->has_subject = !subject.empty();
--- a/src/service/server_exchange.h
+++ b/src/service/server_exchange.h
@@ -45,6 +45,7 @@
   std::uint64_t sent_as = 0;         // its number among all that was sent
   std::uint64_t at_notice = 0;       // which told of the call that is waited for
   std::string payload;               // of the call, then its reply
+  bool unknown = false;              // the engine says that no such request came to it
 
   // Of the call below.
   bool calling = false;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -169,9 +169,9 @@
 // The end of a run, or of the wait for another's result.
 void Service::end(ServerExchange& ex, Outcome outcome, std::string_view result) {
   bool good = outcome == Outcome::kOk;
-  answer(ex, {.kind = good ? Answer::kCompleted : Answer::kTerminated,
-              .result = result,
-              .unfounded = outcome == Outcome::kIgnored});
+  answer(
+      ex,
+      {.kind = good ? Answer::kCompleted : Answer::kTerminated, .result = result, .unfounded = ex.unknown});
   controller_->settled(ex, outcome, now_);
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -224,6 +224,29 @@
   EXPECT_TRUE(until([&] { return logged("ended: malformed"); }));
 }
 
+// A balancer whose requests were over before they could run, or that was wrong now and then over a long day,
+// was taken for such a caller, and lost all that it had open.
+TEST_F(FrontStory, ABalancerIsNotLetGoForRunsThatCameTooLateOrForRareMistakes) {
+  Plain peer = connected();
+  auto id = [](int i) { return "00000000000000b" + std::to_string(i); };
+  for (int i = 1; i <= 8; ++i) {
+    peer.write(request(i, "/api/v2/read", id(i)));
+    ASSERT_TRUE(until([&] { return world.count("run " + id(i)) == 1; }));
+    if (i < 5) {
+      world.done(id(i), Outcome::kIgnored, "");
+      EXPECT_TRUE(comes(peer, "Status: 500"));
+    } else if (i % 2) {
+      world.service.engine().not_carried_out("RUN", id(i));
+      EXPECT_TRUE(comes(peer, "Status: 500"));
+    } else {
+      world.done(id(i));
+      EXPECT_TRUE(comes(peer, "Status: 200"));
+    }
+  }
+  turn(20 * kMs);
+  EXPECT_EQ(peer.read(), "");
+}
+
 TEST_F(FrontStory, OnlyConnectionsWithNothingOpenAreClosedAsIdle) {
   Plain busy = connected();
   Plain idle = connected();
@@ -414,6 +437,22 @@
   EXPECT_TRUE(logged("engine link ended: moved"));
 }
 
+// Half a line of the old link was dropped while the new one was not yet open.
+TEST_F(NetStory, WhileTheNewLinkCannotBeOpenedTheOldOneGoesOn) {
+  Plain listener;
+  EngineLink link(loop, *this, at_port(listener.listen()));
+  service::EngineSession session(link, world.service);
+  link.begin(session);
+  Plain old = accepted_by(listener);
+  ASSERT_TRUE(comes(old, "ATTACH"));
+  link.move(at_port(free_port()));
+  old.write("{\"cmd\":\"NOTE\",\"off");
+  turn(30 * kMs);
+  old.write("set\":1}\n");
+  EXPECT_TRUE(until([&] { return session.last_notice() == 1; }));
+  EXPECT_FALSE(logged("malformed"));
+}
+
 TEST_F(NetStory, AnEngineLineTooLongToKeepIsLeftOutAndTheNextIsRead) {
   Plain listener;
   EngineLink link(loop, *this, at_port(listener.listen()));
