Read over: units, addresses and figures read in one place; leaving a call serves its release

The unit constants stood in six files and now stand beside Nanos. Two comparisons of addresses are same_address. DependencyPort::forget had become give_up: a release leaves its call like any other end. Front read two figures twice, once to check and once to take. Membership kept a flag that its alarm tells. can_send_again changed the command it was asked about; settle does so now. Four stories of the engine link share their set-up. A check that the stamp is above 0 had been dropped: without it a hostile stamp overflowed a subtraction.

--- a/include/myrtlecroft/terms.h
+++ b/include/myrtlecroft/terms.h
@@ -8,6 +8,8 @@
 namespace myrtlecroft {
 
 using Nanos = std::int64_t;
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kSecond = 1'000 * kMs;
 
 enum class Effect { kRepeatable, kDeduplicated, kMutating };
 enum class StopMode { kNone, kDiscard, kFreeze };
--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <stdexcept>
 
+#include "net/address.h"
 #include "terms/reader.h"
 
 namespace myrtlecroft {
@@ -51,9 +52,7 @@
     if (differs) out += std::string(out.empty() ? "" : ", ") + name;
   };
   note(running.name != read.name, "name");
-  note(running.listen.sin_port != read.listen.sin_port ||
-           running.listen.sin_addr.s_addr != read.listen.sin_addr.s_addr,
-       "listen");
+  note(!net::same_address(running.listen, read.listen), "listen");
   note(running.start.seed != read.start.seed, "seed");
   note(running.start.stop_after != read.start.stop_after, "stop_ms");
   note(running.limits != read.limits, "limits");
--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -10,7 +10,6 @@
 namespace myrtlecroft::net {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kPartialLimit = 300 * kMs;  // for a reply that has begun to come to its end
 
 }  // namespace
@@ -130,11 +129,6 @@
   for (auto& channel : channels_) channel->give_up(ex);
 }
 
-void Database::forget(service::ServerExchange& ex) {
-  std::erase(unreachable_, &ex);
-  for (auto& channel : channels_) channel->give_up(ex);
-}
-
 void Database::tell_unreachable() {
   for (service::ServerExchange* ex : std::exchange(unreachable_, {})) {
     service_->replied(*ex, service::Reply::kUnreachable, "");
--- a/src/net/database.h
+++ b/src/net/database.h
@@ -24,7 +24,6 @@
 
   void call(service::ServerExchange& ex, std::string_view body, Nanos longest) override;
   void give_up(service::ServerExchange& ex) override;
-  void forget(service::ServerExchange& ex) override;
 
  private:
   class Channel;
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -4,12 +4,12 @@
 #include <charconv>
 #include <utility>
 
+#include "net/address.h"
 #include "net/base64.h"
 
 namespace myrtlecroft::net {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kFirstWait = 10 * kMs;
 constexpr Nanos kLongestWait = 200 * kMs;
 constexpr Nanos kHandOver = 100 * kMs;  // at most, for what was sent on the old link to be seen
@@ -56,7 +56,7 @@
 }
 
 void EngineLink::move(const sockaddr_in& engine) {
-  if (engine.sin_port == engine_.sin_port && engine.sin_addr.s_addr == engine_.sin_addr.s_addr) return;
+  if (same_address(engine, engine_)) return;
   engine_ = engine;
   next_.reset();
   again_.clear();
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -15,17 +15,15 @@
 namespace myrtlecroft::net {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kAcceptPause = 100 * kMs;  // after the descriptors ran out
-constexpr Nanos kBusyPause = 20 * kMs;     // while all connections are in use
-constexpr Nanos kBegunLimit =
-    2'000 * kMs;  // for a request to come to its end, the first one from its connect
+constexpr Nanos kAcceptPause = 100 * kMs;   // after the descriptors ran out
+constexpr Nanos kBusyPause = 20 * kMs;      // while all connections are in use
+constexpr Nanos kBegunLimit = 2'000 * kMs;  // for a request to come whole, the first one from its connect
 constexpr Nanos kClocksApart = 86'400'000;  // ms; a stamp further away is none
 constexpr std::string_view kPath = "/api/v2/";
 constexpr std::string_view kHealthPath = "/-/healthy";
 constexpr std::size_t kIdDigits = 16;
 constexpr Nanos kFirstGrace = 100 * kMs;  // between a connect and its first request, when there is a crowd
-constexpr int kMostUnfounded = 3;         // of one connection; it is ended then
+constexpr int kMostUnfounded = 3;         // of one connection, none completed between; it is ended then
 constexpr std::size_t kLongestKey = 64;
 constexpr double kMostReserve = 2'000;  // KB
 constexpr int kBacklog = 1024;          // connections that wait to be accepted
@@ -40,11 +38,10 @@
   return text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
-// What is absent is no figure out of range; what is there must be a number of the protocol's.
+// What is absent is no figure out of range, and stays as it was; what is there must be a number in the range.
 template <class Number>
-bool number_fits(std::string_view text, Number least, Number below) {
-  Number number{};
-  return text.empty() || (read_number(text, number) && number >= least && number < below);
+bool read_if_there(std::string_view text, Number& out, Number least, Number below) {
+  return text.empty() || (read_number(text, out) && out >= least && out < below);
 }
 
 std::string output_of(const service::FinalAnswer& answer) {
@@ -179,7 +176,9 @@
   std::string_view script = request.field("SCRIPT_NAME");
   std::string_view id = request.field("HTTP_TRACE_ID");
   std::int64_t accepted = 0;
-  std::int64_t longest = 0;
+  std::int64_t longest = -1;  // not told
+  std::int64_t client = 0;
+  double rank = 0;
   double hint = 0;
   auto ex = std::make_unique<service::ServerExchange>();
   if (!script.starts_with(kPath) || id.size() != kIdDigits || !is_hex(id)) return nullptr;
@@ -193,20 +192,20 @@
   if (!ex->group || (!ex->customer && !project.empty() && !service_->terms().customers.empty()))
     return nullptr;
   std::int64_t stamp = Loop::unix_now();
-  bool good = read_number(request.field("HTTP_ACCEPTED_AT_MS"), accepted) &&
+  bool good = read_number(request.field("HTTP_ACCEPTED_AT_MS"), accepted) && accepted > 0 &&
               std::abs(accepted - stamp / kMs) < kClocksApart &&
               read_number(request.field("HTTP_RESERVE_KB"), ex->held_kb) && ex->held_kb > 0 &&
               ex->held_kb < kMostReserve &&
-              number_fits<std::int64_t>(request.field("HTTP_CLIENT_NO"), 0, INT64_MAX) &&
-              number_fits(request.field("HTTP_STANDING"), 0.0, 1.0) &&
-              number_fits<std::int64_t>(request.field("HTTP_MAX_WAIT_MS"), 0, kClocksApart) &&
-              number_fits(request.field("HTTP_EXPECTED_MS"), 0.0, 1e9);
+              read_if_there<std::int64_t>(request.field("HTTP_CLIENT_NO"), client, 0, INT64_MAX) &&
+              read_if_there(request.field("HTTP_STANDING"), rank, 0.0, 1.0) &&
+              read_if_there<std::int64_t>(request.field("HTTP_MAX_WAIT_MS"), longest, 0, kClocksApart) &&
+              read_if_there(request.field("HTTP_EXPECTED_MS"), hint, 0.0, 1e9);
   if (!good) return nullptr;
-  if (read_number(request.field("HTTP_EXPECTED_MS"), hint)) ex->work_hint = static_cast<Nanos>(hint * 1e6);
+  ex->work_hint = static_cast<Nanos>(hint * 1e6);
   Nanos now = loop_.now();
   Nanos arrived = now - (stamp - accepted * kMs);
   ex->arrived = std::min(arrived, now);
-  if (read_number(request.field("HTTP_MAX_WAIT_MS"), longest)) ex->gives_up_at = arrived + longest * kMs;
+  if (longest >= 0) ex->gives_up_at = arrived + longest * kMs;
   bool deduplicated = ex->group->effect == Effect::kDeduplicated;
   std::string_view subject = request.field("HTTP_LOOKUP_KEY");
   ex->has_subject = !subject.empty();
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -57,9 +57,8 @@
   Alarm sweep_;
   Alarm finish_;
   std::list<std::unique_ptr<BalancerConnection>> peers_;
-  std::list<BalancerConnection*> idle_;  // nothing open, longest idle first
-  std::list<BalancerConnection*>
-      begun_;  // none open, and the first or a further one not whole, longest so first
+  std::list<BalancerConnection*> idle_;   // nothing open, longest idle first
+  std::list<BalancerConnection*> begun_;  // none open, the first or a next one not whole, longest so first
   std::size_t most_connections_;
   std::size_t most_bytes_;
   std::size_t bytes_ = 0;  // of memory, in all connections
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -3,7 +3,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace myrtlecroft::net {
@@ -27,7 +26,6 @@
 
 void Membership::report(bool good) {
   good_ = good;
-  reporting_ = true;
   repeats_ = kRepeats;
   send();
 }
@@ -35,15 +33,15 @@
 void Membership::move(const sockaddr_in& service) {
   service_ = service;
   repeats_ = kRepeats;
-  if (reporting_) send();
+  if (again_.is_set()) send();
 }
 
 void Membership::send() {
   std::string line = "HB " + name_ + (good_ ? " UP" : " OUT");
   ::sendto(socket_, line.data(), line.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr*>(&service_),
            sizeof service_);
-  again_.set(repeats_-- > 0 ? kSoon : kEvery);
-  repeats_ = std::max(0, repeats_);
+  again_.set(repeats_ > 0 ? kSoon : kEvery);
+  if (repeats_ > 0) --repeats_;
 }
 
 }  // namespace myrtlecroft::net
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -23,7 +23,6 @@
   sockaddr_in service_;
   int socket_;
   bool good_ = false;
-  bool reporting_ = false;
   int repeats_ = 0;
   Alarm again_;
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,9 +32,6 @@
 namespace myrtlecroft {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kSecond = 1'000 * kMs;
-
 // The design's figures.
 constexpr int kStep = 10;         // successes for each +1, margin of the cut, margin of the front check
 constexpr int kStartPerCore = 4;  // start window
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -120,7 +120,12 @@
     } else if (!ex->sent) {
       send(*ex);
     } else if (ex->in_doubt) {
-      if (can_send_again(*ex)) {
+      bool again = can_send_again(*ex);
+      if (!again && ex->command == Command::kFeed && ex->group->skip_benefit > 0) {
+        ex->command = Command::kSkip;  // it names its notice
+        again = true;
+      }
+      if (again) {
         send(*ex);
       } else if (ex->answered && ex->command == Command::kRun) {  // nobody waits for it to end or fall due
         events_.run_ended(*ex, Outcome::kFailed, "");
@@ -129,18 +134,15 @@
   }
 }
 
-// Of what is in doubt. A reply that can't be sent again becomes a skip, where calls may be left out.
-bool EngineSession::can_send_again(ServerExchange& ex) {
+// Of what is in doubt.
+bool EngineSession::can_send_again(const ServerExchange& ex) {
   const Calls& seen = calls_[ex.group];
   bool enough = seen.runs >= kEnoughRuns;
   switch (ex.command) {
     case Command::kRun:
       return ex.group->effect == Effect::kRepeatable || (enough && seen.fewest >= 1 && !ex.answered);
     case Command::kFeed:
-      if (enough && seen.most <= 1) return true;
-      if (ex.group->skip_benefit <= 0) return false;
-      ex.command = Command::kSkip;
-      return true;
+      return enough && seen.most <= 1;
     default:
       return ex.command == Command::kSkip;
   }
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -67,7 +67,7 @@
   void give(ServerExchange& ex, Command command);
   void send(ServerExchange& ex);
   void settle();
-  bool can_send_again(ServerExchange& ex);
+  bool can_send_again(const ServerExchange& ex);
 
   // How many calls the runs of a group were seen to make.
   struct Calls {
--- a/src/service/ports.h
+++ b/src/service/ports.h
@@ -39,7 +39,6 @@
   virtual ~DependencyPort() = default;
   virtual void call(ServerExchange& ex, std::string_view body, Nanos longest) = 0;
   virtual void give_up(ServerExchange& ex) = 0;  // its reply is not wanted any more
-  virtual void forget(ServerExchange& ex) = 0;   // it is over
 };
 
 class MembershipPort {
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -6,7 +6,6 @@
 namespace myrtlecroft::service {
 namespace {
 
-constexpr Nanos kMs = 1'000'000;
 // A call that never ran is told no sooner than this after it was made, so that a database that turns
 // everything away at once is not asked in a tight loop.
 constexpr Nanos kLeastCall = 10 * kMs;
@@ -382,8 +381,7 @@
 void Service::release(Exchange& given) {
   ServerExchange& ex = own(given);
   engine_.forget(ex);
-  ports_.dependency.forget(ex);
-  std::erase(calls_, &ex);
+  leave_call(ex);
   if (ex.entry) {
     std::erase(ex.entry->waiters, &ex);
     if (ex.entry->holder == &ex) ex.entry->holder = nullptr;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -14,9 +14,6 @@
 
 namespace myrtlecroft {
 
-constexpr Nanos kMs = 1'000'000;
-constexpr Nanos kSecond = 1'000 * kMs;
-
 inline ServiceTerms two_core_terms() {
   ServiceTerms terms;
   EndpointGroup read{.name = "read", .benefit = 1, .slo_time = 2 * kSecond, .async_timeout = 5 * kSecond};
@@ -253,7 +250,6 @@
   void test(std::uint64_t token) override { did.push_back("test"), test_token = token; }
   void call(service::ServerExchange& ex, std::string_view, Nanos) override { note("call ", ex.id); }
   void give_up(service::ServerExchange& ex) override { note("give up ", ex.id); }
-  void forget(service::ServerExchange&) override {}
   void report(bool good) override { healthy = good; }
   void line(const std::string&) override {}
   void frequent(const std::string&) override {}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -388,11 +388,16 @@
 
 // ---- Engine link
 
-TEST_F(NetStory, TheEngineLinkComesBackAndAsksForWhatItHasNotRead) {
+struct EngineLinkStory : NetStory {
+  EngineLinkStory() : link(loop, *this, at_port(listener.listen())), session(link, world.service) {
+    link.begin(session);
+  }
   Plain listener;
-  EngineLink link(loop, *this, at_port(listener.listen()));
-  service::EngineSession session(link, world.service);
-  link.begin(session);
+  EngineLink link;
+  service::EngineSession session;
+};
+
+TEST_F(EngineLinkStory, TheEngineLinkComesBackAndAsksForWhatItHasNotRead) {
   Plain engine = accepted_by(listener);
   EXPECT_TRUE(comes(engine, "{\"cmd\":\"ATTACH\",\"offset\":0}\n"));
   engine.write("{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":5}\n{\"cmd\":\"NOTE\",\"offset\":4,");
@@ -410,11 +415,7 @@
 }
 
 // Moved, nothing that was on its way on the old link may be in doubt, and no notice is lost or read twice.
-TEST_F(NetStory, TheEngineMovesAndTheOldLinkStaysUntilWhatItCarriedHasArrived) {
-  Plain listener;
-  EngineLink link(loop, *this, at_port(listener.listen()));
-  service::EngineSession session(link, world.service);
-  link.begin(session);
+TEST_F(EngineLinkStory, TheEngineMovesAndTheOldLinkStaysUntilWhatItCarriedHasArrived) {
   Plain old = accepted_by(listener);
   const std::string hello = "{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":5}\n";
   auto stats = [](int token) {
@@ -438,11 +439,7 @@
 }
 
 // Half a line of the old link was dropped while the new one was not yet open.
-TEST_F(NetStory, WhileTheNewLinkCannotBeOpenedTheOldOneGoesOn) {
-  Plain listener;
-  EngineLink link(loop, *this, at_port(listener.listen()));
-  service::EngineSession session(link, world.service);
-  link.begin(session);
+TEST_F(EngineLinkStory, WhileTheNewLinkCannotBeOpenedTheOldOneGoesOn) {
   Plain old = accepted_by(listener);
   ASSERT_TRUE(comes(old, "ATTACH"));
   link.move(at_port(free_port()));
@@ -453,11 +450,7 @@
   EXPECT_FALSE(logged("malformed"));
 }
 
-TEST_F(NetStory, AnEngineLineTooLongToKeepIsLeftOutAndTheNextIsRead) {
-  Plain listener;
-  EngineLink link(loop, *this, at_port(listener.listen()));
-  service::EngineSession session(link, world.service);
-  link.begin(session);
+TEST_F(EngineLinkStory, AnEngineLineTooLongToKeepIsLeftOutAndTheNextIsRead) {
   Plain engine = accepted_by(listener);
   EXPECT_TRUE(comes(engine, "ATTACH"));
   std::string part(100'000, 'x');
