--- a/measure/agreement_rig.cpp
+++ b/measure/agreement_rig.cpp
@@ -14,6 +14,7 @@
 
 #include "../standin/ads_link.h"
 #include "../standin/child.h"
+#include "../standin/control_fleet.h"
 #include "../standin/engine.h"
 #include "../standin/no_log.h"
 #include "../standin/node_config.h"
@@ -31,23 +32,8 @@
 constexpr Nanos kMissed = 600 * kMs;    // a leader that stands still for less is not replaced
 constexpr int kDigits = 16;             // shards
 
-// Ports that nobody has, below those that the kernel gives to whoever connects: one that is asked of the
-// kernel may be somebody's again before the process that is meant to have it has started.
-int free_port(std::set<int>& taken) {
-  constexpr int kFirst = 12'000;
-  constexpr int kCount = 18'000;
-  static std::mt19937 draws(static_cast<unsigned>(::getpid()));
-  for (;;) {
-    int port = kFirst + static_cast<int>(draws() % kCount);
-    int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = net::loopback(static_cast<std::uint16_t>(port));
-    bool good = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-    ::close(socket);
-    if (good && taken.insert(port).second) return port;
-  }
-}
-
-std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
+using standin::free_port;
+using standin::on_loopback;
 
 // Lines that a process has written since the last look.
 class Tail {
@@ -83,6 +69,7 @@
     proxies_.clear();
     links_.clear();
     nodes_.clear();
+    control_.reset();
     instances_.clear();
     if (result_.violations() == 0) std::filesystem::remove_all(folder_);
   }
@@ -105,8 +92,6 @@
 
  private:
   struct InstancePlace {
-    int xds = 0, reports = 0, admin = 0, peer = 0;
-    standin::Child process;
     std::vector<std::unique_ptr<standin::Relay>> peers;  // to each other
     std::unique_ptr<Tail> log;
     bool stopped = false;
@@ -115,6 +100,7 @@
   struct NodePlace {
     int port = 0;
     standin::Child process;
+    std::unique_ptr<standin::FaultFile> faults;
     std::unique_ptr<standin::Engine> engine;
     std::vector<std::unique_ptr<standin::Relay>> reports;  // to each instance
     std::unique_ptr<Tail> log;
@@ -127,24 +113,33 @@
   std::string name(int node) const { return "n" + std::to_string(node + 1); }
 
   void make_places() {
+    control_ = std::make_unique<standin::ControlFleet>(
+        standin::ControlFleetTerms{.folder = folder_,
+                                   .fleet = file("fleet.conf"),
+                                   .instances = terms_.incident.instances,
+                                   .agreed = terms_.agreed,
+                                   .more = {}},
+        taken_);
     for (int i = 0; i < terms_.incident.instances; ++i) {
       instances_.emplace_back();
       InstancePlace& one = instances_.back();
-      for (int* port : {&one.xds, &one.reports, &one.admin, &one.peer}) *port = free_port(taken_);
-      one.log = std::make_unique<Tail>(file("control" + std::to_string(i) + ".log"));
-    }
-    for (InstancePlace& one : instances_) {
-      for (InstancePlace& other : instances_) {
-        one.peers.push_back(std::make_unique<standin::Relay>(loop_, static_cast<std::uint16_t>(other.peer)));
+      one.log = std::make_unique<Tail>(control_->log(i));
+      std::string& reach = (*control_)[i].reach;
+      for (int k = 0; k < terms_.incident.instances; ++k) {
+        one.peers.push_back(
+            std::make_unique<standin::Relay>(loop_, static_cast<std::uint16_t>((*control_)[k].peer)));
+        if (k == i) continue;
+        reach += (reach.empty() ? "" : ",") + std::to_string(k + 1) + "=" + on_loopback(one.peers.back()->port());
       }
     }
     for (int i = 0; i < terms_.incident.nodes; ++i) {
       nodes_.emplace_back();
       NodePlace& node = nodes_.back();
       node.port = free_port(taken_);
+      node.faults = std::make_unique<standin::FaultFile>(file("faults-" + name(i)));
       node.engine = std::make_unique<standin::Engine>(loop_, log_, name(i), 2,
                                                       [this](const standin::RunSeen& run) { ran(run); });
-      for (InstancePlace& one : instances_) {
+      for (const auto& one : control_->all()) {
         node.reports.push_back(
             std::make_unique<standin::Relay>(loop_, static_cast<std::uint16_t>(one.reports)));
       }
@@ -157,7 +152,7 @@
     out << "version = 1; listener = \"fleet\"; proxies = " << terms_.incident.proxies << "; nodes = (";
     for (int i = 0; i < terms_.incident.nodes; ++i) {
       out << (i ? ", " : "") << "{ name = \"" << name(i) << "\"; zone = \"" << (i % 2 ? "b" : "a")
-          << "\"; address = \"" << at(nodes_[static_cast<std::size_t>(i)].port) << "\"; }";
+          << "\"; address = \"" << on_loopback(nodes_[static_cast<std::size_t>(i)].port) << "\"; }";
     }
     out << ");\ngroups = ({ name = \"booking\"; repeats = \"deduplicated\"; slo_ms = 400; timeout_ms = "
         << kTimeout / kMs << "; window_ms = " << kWindow / kMs << "; });\n"
@@ -168,7 +163,7 @@
       std::ofstream settings(file(name(i) + ".conf"));
       settings << "version = 1; reports = { to = (";
       for (std::size_t k = 0; k < node.reports.size(); ++k)
-        settings << (k ? ", " : "") << '"' << at(node.reports[k]->port()) << '"';
+        settings << (k ? ", " : "") << '"' << on_loopback(node.reports[k]->port()) << '"';
       settings << "); every_ms = 100; obey = " << (terms_.agreed ? "true" : "false") << "; };\n";
       standin::write_node_config(
           file(name(i) + ".json"),
@@ -185,52 +180,24 @@
   }
 
   void start_instance(int i, bool first) {
-    InstancePlace& one = instances_[static_cast<std::size_t>(i)];
-    std::string id = std::to_string(i + 1);
-    std::vector<std::string> command = {
-        MYRTLECROFT_CONTROL, "serve",     "--fleet",       file("fleet.conf"), "--xds",
-        at(one.xds),         "--reports", at(one.reports), "--admin",          at(one.admin)};
-    if (terms_.agreed) {
-      std::string all;
-      std::string reach;
-      for (int k = 0; k < terms_.incident.instances; ++k) {
-        std::string equals = (k ? "," : "") + std::to_string(k + 1) + "=";
-        all += equals + at(instances_[static_cast<std::size_t>(k)].peer);
-        if (k != i)
-          reach += (reach.empty() ? "" : ",") + std::to_string(k + 1) + "=" +
-                   at(one.peers[static_cast<std::size_t>(k)]->port());
-      }
-      for (const std::string& word :
-           {std::string("--instance"), id, std::string("--peer"), at(one.peer), std::string("--log"),
-            file("log" + id), std::string("--reach"), reach}) {
-        command.push_back(word);
-      }
-      if (first) command.insert(command.end(), {"--begin", all});
-    } else {
-      command.insert(command.end(), {"--state", file("state" + id)});
-    }
-    if (first) command.push_back("--first-start");
-    one.process = standin::Child(command, file("control" + std::to_string(i) + ".log"));
-    one.stopped = false;
+    control_->start(i, first ? standin::ControlFleet::Start::kFirst : standin::ControlFleet::Start::kAgain);
+    instances_[static_cast<std::size_t>(i)].stopped = false;
   }
 
   void start_node(int i) {
     NodePlace& node = nodes_[static_cast<std::size_t>(i)];
     node.engine->restart(0);
-    node.process = standin::Child(
-        {MYRTLECROFT_PROGRAM}, file(name(i) + ".log"),
-        {{"LB_CONFIG", file(name(i) + ".json")}, {"MYRTLECROFT_SETTINGS", file(name(i) + ".conf")}});
+    auto variables = node.faults->variables(MYRTLECROFT_FAULTY);
+    variables.emplace_back("LB_CONFIG", file(name(i) + ".json"));
+    variables.emplace_back("MYRTLECROFT_SETTINGS", file(name(i) + ".conf"));
+    node.process = standin::Child({MYRTLECROFT_PROGRAM}, file(name(i) + ".log"), variables);
     node.alive = true;
     node.epoch = {};
   }
 
   void make_proxy(int i) {
-    std::string target = "ipv4:";
-    for (int k = 0; k < terms_.incident.instances; ++k) {
-      target +=
-          (k ? "," : "") + at(instances_[static_cast<std::size_t>((k + i) % terms_.incident.instances)].xds);
-    }
-    links_.push_back(std::make_unique<standin::AdsLink>(target, i % 2 == 0, "p" + std::to_string(i)));
+    links_.push_back(
+        std::make_unique<standin::AdsLink>(control_->discovery(i), i % 2 == 0, "p" + std::to_string(i)));
     held_.emplace_back();
     proxies_.push_back(std::make_unique<standin::Proxy>(
         loop_, log_, [link = links_.back().get()] { return link->applied(); }, i + 1,
@@ -305,7 +272,7 @@
   }
   bool alive_for(const std::string& address, Nanos time) {
     for (const NodePlace& node : nodes_) {
-      if (at(node.port) == address) return node.alive && loop_.now() - node.killed_at > time;
+      if (on_loopback(node.port) == address) return node.alive && loop_.now() - node.killed_at > time;
     }
     return false;
   }
@@ -401,23 +368,25 @@
   }
   void kill_instance(int i, Nanos for_long, bool lose) {
     InstancePlace& one = instances_[static_cast<std::size_t>(i)];
-    if (one.process.pid() <= 0 || one.stopped) return;
+    standin::Child& process = (*control_)[i].process;
+    if (process.pid() <= 0 || one.stopped) return;
     fell(i);
-    one.process.end(SIGKILL);
-    if (lose) std::filesystem::remove_all(file("log" + std::to_string(i + 1)));
+    process.end(SIGKILL);
+    if (lose) std::filesystem::remove_all(control_->state(i));
     one.lost = one.lost || lose;
-    later(for_long, [this, i, &one] {
-      if (one.process.pid() <= 0) start_instance(i, false);
+    later(for_long, [this, i, &process] {
+      if (process.pid() <= 0) start_instance(i, false);
     });
   }
   void stop_instance(int i, Nanos for_long) {
     InstancePlace& one = instances_[static_cast<std::size_t>(i)];
-    if (one.process.pid() <= 0 || one.stopped) return;
+    standin::Child& process = (*control_)[i].process;
+    if (process.pid() <= 0 || one.stopped) return;
     fell(i);
     one.stopped = true;
-    one.process.signal(SIGSTOP);
-    later(for_long, [this, &one, i, for_long] {
-      one.process.signal(SIGCONT);
+    process.signal(SIGSTOP);
+    later(for_long, [this, &one, &process, i, for_long] {
+      process.signal(SIGCONT);
       one.stopped = false;
       // Too short for anybody to have missed it.
       if (leader_ == i && for_long < kMissed) fallen_at_ = 0;
@@ -439,6 +408,34 @@
     node.killed_at = loop_.now() + for_long;  // what it does not answer meanwhile is not held against it
   }
 
+  void fail_inside(int i, const Step& step) {
+    const standin::FaultFile& faults = *(*control_)[i].faults;
+    if (step.fault == Fault::kKillAtSync) {
+      standin::Child& process = (*control_)[i].process;
+      if (process.pid() <= 0 || instances_[static_cast<std::size_t>(i)].stopped) return;
+      faults.die_at_next(step.count);
+      // It dies when it gets there; who leads may have changed by then.
+      later(step.length, [this, i, &process, &faults] {
+        faults->die_at_sync = 0;
+        if (!process.is_over()) return;
+        fell(i);
+        start_instance(i, false);
+      });
+      return;
+    }
+    if (step.fault == Fault::kDiskFails) faults->sync_error = EIO;
+    if (step.fault == Fault::kDiskFull) faults->write_error = ENOSPC;
+    if (step.fault == Fault::kDiskSlow) faults->sync_takes_ns = step.by;
+    if (step.fault == Fault::kClock) faults->wall_step_ns = step.by;
+    bool gone = step.fault == Fault::kDiskFails || step.fault == Fault::kDiskFull;
+    if (gone) fell(i);
+    later(step.length, [this, &faults, gone, i, length = step.length] {
+      if (gone && leader_ == i && length < kMissed) fallen_at_ = 0;
+      faults->sync_error = faults->write_error = 0;
+      faults->sync_takes_ns = faults->wall_step_ns = 0;
+    });
+  }
+
   // One link of whom a step names; `there` leads away from them.
   void fail_link(const Step& step, standin::Relay& there, standin::Relay* back) {
     bool out = step.way != Way::kBack;
@@ -477,7 +474,7 @@
   void act(const Step& step) {
     ++result_.faults;
     seconds_[second()].notes += (seconds_[second()].notes.empty() ? "" : "; ") + told(step);
-    bool link = step.fault != Fault::kKill && step.fault != Fault::kStop && step.fault != Fault::kLose;
+    bool link = on_links(step.fault);
     int first = step.who.first;
     int last = step.who.last;
     if (step.who.kind == Who::Kind::kLeader) first = last = std::max(leader_, 0);
@@ -488,6 +485,11 @@
       } else if (step.who.kind == Who::Kind::kNode) {
         if (step.fault == Fault::kKill) kill_node(i, step.length);
         if (step.fault == Fault::kStop) stop_node(i, step.length);
+        if (step.fault == Fault::kClock) {
+          const standin::FaultFile& faults = *nodes_[at].faults;
+          faults->wall_step_ns = step.by;
+          later(step.length, [&faults] { faults->wall_step_ns = 0; });
+        }
         for (int k = 0; link && k < terms_.incident.instances; ++k) {
           if (step.others >> k & 1)
             fail_link(step, *nodes_[at].reports[static_cast<std::size_t>(k)], nullptr);
@@ -500,8 +502,10 @@
         }
       } else if (step.fault == Fault::kStop) {
         stop_instance(i, step.length);
-      } else {
+      } else if (step.fault == Fault::kKill || step.fault == Fault::kLose) {
         kill_instance(i, step.length, step.fault == Fault::kLose);
+      } else {
+        fail_inside(i, step);
       }
     }
   }
@@ -580,7 +584,7 @@
           continue;  // it refuses to start, which is right: an operator lets a new one in
         control::AdminAnswer answer;
         try {
-          answer = control::ask(net::loopback(static_cast<std::uint16_t>(instances_[i].admin)), "instances");
+          answer = control::ask(net::loopback(static_cast<std::uint16_t>((*control_)[static_cast<int>(i)].admin)), "instances");
         } catch (const std::exception& error) {
           if (round == 0) ++result_.not_back, note("instance " + std::to_string(i + 1) + ": " + error.what());
           continue;
@@ -618,6 +622,7 @@
   standin::NoLog log_;
   standin::Database database_;
   std::set<int> taken_;
+  std::unique_ptr<standin::ControlFleet> control_;
   std::vector<InstancePlace> instances_;
   std::vector<NodePlace> nodes_;
   std::vector<std::unique_ptr<standin::AdsLink>> links_;
--- a/measure/incident.cpp
+++ b/measure/incident.cpp
@@ -12,14 +12,19 @@
 
 using settings::Part;
 
-constexpr std::array<std::pair<const char*, Fault>, 8> kFaults = {{{"kill", Fault::kKill},
+constexpr std::array<std::pair<const char*, Fault>, 13> kFaults = {{{"kill", Fault::kKill},
                                                                    {"stop", Fault::kStop},
                                                                    {"stall", Fault::kStall},
                                                                    {"close", Fault::kClose},
                                                                    {"late", Fault::kLate},
                                                                    {"reset", Fault::kReset},
                                                                    {"cut-frame", Fault::kCutFrame},
-                                                                   {"lose", Fault::kLose}}};
+                                                                   {"lose", Fault::kLose},
+                                                                    {"disk-fails", Fault::kDiskFails},
+                                                                    {"disk-full", Fault::kDiskFull},
+                                                                    {"disk-slow", Fault::kDiskSlow},
+                                                                    {"clock", Fault::kClock},
+                                                                    {"kill-at-sync", Fault::kKillAtSync}}};
 constexpr std::array<std::pair<const char*, Way>, 3> kWays = {
     {{"there", Way::kThere}, {"back", Way::kBack}, {"both", Way::kBoth}}};
 constexpr std::array<const char*, 4> kKinds = {"leader", "instance", "node", "proxy"};
@@ -77,7 +82,7 @@
   out.who = who_in(part, of);
   bool once = out.fault == Fault::kReset || out.fault == Fault::kCutFrame;
   if (!once) out.length = static_cast<Nanos>(part.number("for_s", 0.05, 600) * static_cast<double>(kSecond));
-  bool link = out.fault != Fault::kKill && out.fault != Fault::kStop && out.fault != Fault::kLose;
+  bool link = on_links(out.fault);
   if (part.has("to")) {
     if (!link) part.bad("to", "is only for what fails on links");
     out.others = 0;
@@ -91,18 +96,25 @@
     }
   }
   if (out.fault == Fault::kStall) out.way = word_in(part, "way", kWays);
-  if (out.fault == Fault::kLate) out.by = part.millis("by_ms", 1, 60'000);
+  if (out.fault == Fault::kLate || out.fault == Fault::kDiskSlow) out.by = part.millis("by_ms", 1, 60'000);
+  if (out.fault == Fault::kClock) out.by = part.whole("by_ms", -600'000, 600'000) * kMs;
+  if (out.fault == Fault::kKillAtSync) out.count = static_cast<int>(part.whole("sync", 1, 1000));
   if (out.fault == Fault::kCutFrame) out.bytes = static_cast<std::size_t>(part.whole("bytes", 0, 10'000'000));
   if (out.who.kind == Who::Kind::kProxy && out.fault != Fault::kReset)
     part.bad("what", "is not for proxies: their streams can only be reset");
-  if (out.fault == Fault::kLose && out.who.kind == Who::Kind::kNode)
-    part.bad("what", "is not for nodes: they keep nothing here");
+  bool disk = !link && out.fault != Fault::kKill && out.fault != Fault::kStop && out.fault != Fault::kClock;
+  if (disk && out.who.kind == Who::Kind::kNode) part.bad("what", "is not for nodes: they keep nothing here");
   part.nothing_else();
   return out;
 }
 
 }  // namespace
 
+bool on_links(Fault fault) {
+  return fault == Fault::kStall || fault == Fault::kClose || fault == Fault::kLate || fault == Fault::kReset ||
+         fault == Fault::kCutFrame;
+}
+
 std::string told(const Step& step) {
   std::string out = kFaults[static_cast<std::size_t>(step.fault)].first;
   if (step.fault == Fault::kStall) out += std::string(" ") + kWays[static_cast<std::size_t>(step.way)].first;
@@ -149,7 +161,7 @@
   out.by = kSecond;
   Who one{Who::Kind::kInstance, instance, instance};
   Who a_node{Who::Kind::kNode, node, node};
-  switch (pick(12)) {
+  switch (pick(16)) {
     case 0:
       out.fault = Fault::kKill;
       break;
@@ -194,6 +206,24 @@
       out.fault = Fault::kReset;
       out.who = a_node;
       break;
+    case 11:
+      out.fault = pick(2) ? Fault::kDiskFails : Fault::kDiskFull;
+      out.who = one;
+      break;
+    case 12:
+      out.fault = Fault::kDiskSlow;
+      out.who = one;
+      out.by /= 2;
+      break;
+    case 13:
+      out.fault = Fault::kClock;
+      out.who = one;
+      out.by = (pick(2) ? 20 : -20) * kSecond;
+      break;
+    case 14:
+      out.fault = Fault::kKillAtSync;
+      out.count = 1 + pick(6);
+      break;
     default:
       out.fault = Fault::kReset;
       out.who = {Who::Kind::kProxy, proxy, proxy};
--- a/measure/incident.h
+++ b/measure/incident.h
@@ -18,7 +18,12 @@
   kLate,      // each byte, by so much
   kReset,     // once
   kCutFrame,  // after so many bytes more that go there, once
-  kLose       // killed, and its folder is gone
+  kLose,      // killed, and its folder is gone
+  kDiskFails,  // every sync fails
+  kDiskFull,   // every write does
+  kDiskSlow,   // each sync takes so long
+  kClock,      // the wall clock is off by so much
+  kKillAtSync  // killed as it begins its Nth sync from now; it starts again afterwards
 };
 enum class Way { kThere, kBack, kBoth };  // seen from whom the step names
 
@@ -38,10 +43,13 @@
   // Of a link: the instances at its other end, as bits; all where it is not said.
   unsigned others = ~0u;
   Way way = Way::kBoth;
-  Nanos by = 0;           // late
+  Nanos by = 0;           // late, disk slow, clock
   std::size_t bytes = 0;  // cut frame
+  int count = 0;          // kill at sync
 };
 std::string told(const Step& step);
+// Of a link between two processes, not of one process.
+bool on_links(Fault fault);
 
 struct Incident {
   int instances = 3;
--- a/measure/measure_routing.cpp
+++ b/measure/measure_routing.cpp
@@ -1,22 +1,30 @@
-// What control is worth: the same load and the same troubles, with control and with even, static weights.
+// What control is worth: the same load and the same troubles, with control, with three instances of it that
+// decide as one, and with even, static weights.
 #include <cstdio>
 
 #include "rehearsal.h"
 
 int main() {
   using namespace myrtlecroft::measure;
-  Figures fixed = play({.with_control = false});
-  std::printf("even, static weights: benefit %.3f, completed %d of %d\n%s\n", fixed.benefit, fixed.completed,
-              fixed.offered, fixed.table.c_str());
-  Figures control = play({.with_control = true});
-  std::printf("with control: benefit %.3f, completed %d of %d\n%s\n", control.benefit, control.completed,
-              control.offered, control.table.c_str());
+  auto told = [](const char* what, const Figures& figures) {
+    std::printf("%s: benefit %.3f, completed %d of %d\n%s\n", what, figures.benefit, figures.completed,
+                figures.offered, figures.table.c_str());
+  };
+  Figures fixed = play({.instances = 0});
+  told("even, static weights", fixed);
+  Figures one = play({.instances = 1});
+  told("with control", one);
+  Figures three = play({.instances = 3});
+  told("with three instances", three);
+  auto wrong = [](const Figures& figures) {
+    return figures.lost + figures.doubled + figures.drain_violations + figures.half_applied;
+  };
   std::printf(
-      "measured routing benefit_static=%.3f benefit_control=%.3f lost=%d doubled=%d drain_violations=%d "
-      "half_applied=%d offered=%d completed_static=%d completed_control=%d\n",
-      fixed.benefit, control.benefit, control.lost, control.doubled, control.drain_violations,
-      control.half_applied, control.offered, fixed.completed, control.completed);
-  bool sound =
-      control.lost == 0 && control.doubled == 0 && control.drain_violations == 0 && control.half_applied == 0;
-  return sound && control.benefit > fixed.benefit ? 0 : 1;
+      "measured routing benefit_static=%.3f benefit_control=%.3f benefit_three=%.3f lost=%d doubled=%d "
+      "drain_violations=%d half_applied=%d offered=%d completed_static=%d completed_control=%d "
+      "completed_three=%d\n",
+      fixed.benefit, one.benefit, three.benefit, one.lost + three.lost, one.doubled + three.doubled,
+      one.drain_violations + three.drain_violations, one.half_applied + three.half_applied, one.offered,
+      fixed.completed, one.completed, three.completed);
+  return wrong(one) + wrong(three) == 0 && one.benefit > fixed.benefit && three.benefit > fixed.benefit ? 0 : 1;
 }
--- a/measure/measure_xds.cpp
+++ b/measure/measure_xds.cpp
@@ -1,5 +1,6 @@
-// How quickly a change reaches every proxy, and what it costs: one control service, many proxy streams, half
-// of them delta, each on a connection of its own; changes one after another and in bursts.
+// How quickly a change reaches every proxy, and what it costs: one control service, or three instances that
+// decide as one (INSTANCES, the argument), many proxy streams, half of them delta, each on a connection of its
+// own; changes one after another and in bursts.
 #include <malloc.h>
 #include <sys/resource.h>
 
@@ -9,7 +10,7 @@
 #include <thread>
 
 #include "../standin/ads_link.h"
-#include "../standin/child.h"
+#include "../standin/control_fleet.h"
 #include "../tests/control_harness.h"
 #include "control/ask.h"
 #include "discovery.pb.h"
@@ -147,7 +148,8 @@
 
 }  // namespace
 
-int main() {
+int main(int count, char** words) {
+  const int instances = count > 1 ? std::atoi(words[1]) : 1;
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
@@ -171,19 +173,27 @@
   compare_forms(folder.file("fleet.conf"), shared_ms, each_ms);
   std::printf("a push without a network: shared %.1f ms, serialised for each %.1f ms\n", shared_ms, each_ms);
 
-  std::string base = std::to_string(24'000 + getpid() % 1000 * 4);
-  auto port = [&](int offset) { return static_cast<std::uint16_t>(std::stoi(base) + offset); };
-  std::string at = "127.0.0.1:";
-  standin::Child control({MYRTLECROFT_CONTROL, "serve", "--first-start", "--fleet", folder.file("fleet.conf"),
-                          "--state", folder.file("state"), "--xds", at + std::to_string(port(0)), "--reports",
-                          at + std::to_string(port(1)), "--admin", at + std::to_string(port(2))},
-                         folder.file("log"));
-  control::Reporters reporters(port(1));
+  std::set<int> taken;
+  standin::ControlFleet fleet({.folder = folder.file(""),
+                               .fleet = folder.file("fleet.conf"),
+                               .instances = instances,
+                               .agreed = instances > 1,
+                               .more = {}},
+                              taken);
+  fleet.start_all();
+  standin::Child& control = fleet[0].process;
+  std::vector<std::unique_ptr<control::Reporters>> reporters;
+  for (const auto& place : fleet.all())
+    reporters.push_back(std::make_unique<control::Reporters>(static_cast<std::uint16_t>(place.reports)));
+  auto say = [&](const std::string& node, const std::function<void(report::NodeReport&)>& change) {
+    for (auto& one : reporters) one->set(node, change);
+  };
   for (int i = 1; i <= kNodes; ++i) {
-    reporters.add("n" + std::to_string(i),
-                  "127.0.0." + std::to_string(2 + i / 250) + ":" + std::to_string(20'000 + i));
+    for (auto& one : reporters)
+      one->add("n" + std::to_string(i),
+               "127.0.0." + std::to_string(2 + i / 250) + ":" + std::to_string(20'000 + i));
   }
-  auto admin = [&](const char* question) { return control::ask(control::loopback(port(2)), question); };
+  auto admin = [&](const char* question) { return control::ask(control::loopback(static_cast<std::uint16_t>(fleet[0].admin)), question); };
   control::await(
       [&] {
         try {
@@ -202,7 +212,7 @@
   auto bodies = std::make_shared<standin::BodyCache>();
   for (int i = 0; i < kProxies; ++i) {
     links.push_back(std::make_unique<standin::AdsLink>(
-        at + std::to_string(port(0)), i % 2 == 0, "p" + std::to_string(i),
+        fleet.discovery(i), i % 2 == 0, "p" + std::to_string(i),
         [&watch, i](const standin::AppliedSet& set) { watch.look(static_cast<std::size_t>(i), set); },
         bodies));
   }
@@ -228,7 +238,7 @@
   auto change = [&](int node, bool leaving) {
     std::string name = "n" + std::to_string(node);
     watch.begin(name, !leaving);
-    reporters.set(name, [&](auto& report) { report.leaving = leaving; });
+    say(name, [&](auto& report) { report.leaving = leaving; });
     if (!control::await([&] { return watch.done(); }, 10'000))
       std::printf("change of %s not everywhere\n", name.c_str());
   };
@@ -238,7 +248,7 @@
   double p99 = quantile(watch.took, 0.99);
   for (int burst = 0; burst < kBursts; ++burst) {
     for (int i = 0; i < kBurst - 1; ++i) {
-      reporters.set("n" + std::to_string(200 + i), [&](auto& report) { report.leaving = burst % 2 == 0; });
+      say("n" + std::to_string(200 + i), [&](auto& report) { report.leaving = burst % 2 == 0; });
     }
     change(200 + kBurst, burst % 2 == 0);
   }
@@ -256,11 +266,11 @@
   std::printf("bursts of %d: p99 %.0f ms; %llu pushes\n", kBurst, quantile(bursts, 0.99),
               static_cast<unsigned long long>(pushes));
   links.clear();
-  control.end(SIGTERM);
+  for (auto& place : fleet.all()) place.process.end(SIGTERM);
   std::printf(
-      "measured xds proxies=%d endpoints=%d converge_p50_ms=%.0f converge_p99_ms=%.0f half_applied=%d "
+      "measured xds instances=%d proxies=%d endpoints=%d converge_p50_ms=%.0f converge_p99_ms=%.0f half_applied=%d "
       "bytes_ratio_delta_sotw=%.3f rss_kb_per_proxy=%ld cpu_ms_per_push=%.1f converge_burst_p99_ms=%.0f "
       "push_shared_ms=%.2f push_serialised_each_ms=%.2f\n",
-      kProxies, kNodes, p50, p99, half, ratio, per_proxy, cpu, quantile(bursts, 0.99), shared_ms, each_ms);
+      instances, kProxies, kNodes, p50, p99, half, ratio, per_proxy, cpu, quantile(bursts, 0.99), shared_ms, each_ms);
   return half == 0 && p99 < 2000 ? 0 : 1;
 }
--- a/measure/rehearsal.cpp
+++ b/measure/rehearsal.cpp
@@ -9,6 +9,7 @@
 
 #include "../standin/ads_link.h"
 #include "../standin/child.h"
+#include "../standin/control_fleet.h"
 #include "../standin/engine.h"
 #include "../standin/no_log.h"
 #include "../standin/node_config.h"
@@ -46,7 +47,6 @@
   explicit Rehearsal(const Play& play)
       : play_(play),
         random_(play.seed),
-        base_(21'000 + static_cast<int>(::getpid()) % 500 * 20),
         database_(loop_, log_),
         beat_(loop_.base(), [this] { beat(); }) {
     char name[] = "/tmp/myrtlecroft_rehearsal.XXXXXX";
@@ -56,11 +56,19 @@
     proxies_.clear();
     links_.clear();
     for (standin::Child& node : nodes_) node.end(SIGKILL);
-    control_.end(SIGKILL);
+    control_.reset();
     std::filesystem::remove_all(folder_);
   }
 
   Figures run() {
+    for (int& port : node_ports_) port = standin::free_port(taken_);
+    control_ = std::make_unique<standin::ControlFleet>(
+        standin::ControlFleetTerms{.folder = folder_,
+                                   .fleet = file("fleet.conf"),
+                                   .instances = play_.instances,
+                                   .agreed = play_.instances > 1,
+                                   .more = {}},
+        taken_);
     write_fleet();
     for (int i = 0; i < kNodes; ++i) {
       engines_.push_back(std::make_unique<standin::Engine>(
@@ -69,7 +77,7 @@
       leaving_since_.push_back(0);
       start_node(i);
     }
-    if (play_.with_control) start_control(true);
+    control_->start_all();
     make_proxies();
     wait_for([this] { return ready(); });
     begun_ = loop_.now();
@@ -83,9 +91,8 @@
 
  private:
   static std::string node_name(int i) { return "n" + std::to_string(i + 1); }
-  int node_port(int i) const { return base_ + i; }
+  int node_port(int i) const { return node_ports_[i]; }
   std::string file(const std::string& name) const { return folder_ + "/" + name; }
-  std::string at(int offset) const { return "127.0.0.1:" + std::to_string(base_ + offset); }
 
   void write_fleet() const {
     std::ofstream out(file("fleet.conf"));
@@ -108,8 +115,11 @@
     out << ");\nbounds = { silent_ms = 700; mute_ms = 700; dwell_ms = 1000; ramp_ms = 2000; shard_digits = "
            "1; "
            "settle_ms = 50; retry_budget = 0.2; weight_step = 0.5; };\n";
-    std::ofstream(file("node.conf")) << "version = 1; reports = { to = (\"" << at(11)
-                                     << "\"); every_ms = 100; };\n";
+    std::ofstream settings(file("node.conf"));
+    settings << "version = 1; reports = { to = (";
+    for (const auto& place : control_->all())
+      settings << (&place == &control_->all().front() ? "" : ", ") << '"' << standin::on_loopback(place.reports) << '"';
+    settings << "); every_ms = 100; obey = " << (play_.instances > 1 ? "true" : "false") << "; };\n";
   }
 
   void start_node(int i) {
@@ -131,20 +141,12 @@
                    R"("classSkipWorth":[0,0,0])"});
     std::vector<std::pair<std::string, std::string>> variables = {
         {"LB_CONFIG", file(node_name(i) + ".json")}};
-    if (play_.with_control) variables.emplace_back("MYRTLECROFT_SETTINGS", file("node.conf"));
+    if (play_.instances > 0) variables.emplace_back("MYRTLECROFT_SETTINGS", file("node.conf"));
     nodes_[static_cast<std::size_t>(i)] =
         standin::Child({MYRTLECROFT_PROGRAM}, file(node_name(i) + ".log"), variables);
     leaving_since_[static_cast<std::size_t>(i)] = 0;
   }
 
-  void start_control(bool first) {
-    std::vector<std::string> command = {MYRTLECROFT_CONTROL, "serve",       "--fleet", file("fleet.conf"),
-                                        "--state",           file("state"), "--xds",   at(10),
-                                        "--reports",         at(11),        "--admin", at(12)};
-    if (first) command.push_back("--first-start");
-    control_ = standin::Child(command, file("control.log"));
-  }
-
   // The set that even, static weights make of the same fleet file.
   std::shared_ptr<const standin::AppliedSet> static_set() const {
     routing::Router router(fleet::read_fleet(file("fleet.conf")), std::nullopt, true, kSecond,
@@ -165,11 +167,12 @@
   }
 
   void make_proxies() {
-    auto fixed = play_.with_control ? nullptr : static_set();
+    auto fixed = play_.instances > 0 ? nullptr : static_set();
     for (int i = 0; i < kProxies; ++i) {
       standin::Proxy::Set set = [fixed] { return fixed; };
-      if (play_.with_control) {
-        links_.push_back(std::make_unique<standin::AdsLink>(at(10), i % 2 == 0, "p" + std::to_string(i)));
+      if (play_.instances > 0) {
+        links_.push_back(
+            std::make_unique<standin::AdsLink>(control_->discovery(i), i % 2 == 0, "p" + std::to_string(i)));
         set = [link = links_.back().get()] { return link->applied(); };
       }
       proxies_.push_back(std::make_unique<standin::Proxy>(loop_, log_, set, i + 1,
@@ -227,11 +230,11 @@
     when(16, [this] { note("n3's engine is back"), engines_[2]->silent(false); });
     when(16.5, [this] {
       note("control is killed");
-      if (play_.with_control) control_.end(SIGKILL);
+      if (play_.instances > 0) (*control_)[0].process.end(SIGKILL);
     });
     when(17.5, [this] {
       note("control is back");
-      if (play_.with_control) start_control(false);
+      if (play_.instances > 0) control_->start(0);
     });
     when(20, [this] { note("n4 leaves"), leave(3); });
     when(30, [this] { note("n4 comes back cold"), come_back_cold(3); });
@@ -372,7 +375,8 @@
 
   Play play_;
   std::mt19937 random_;
-  int base_;
+  std::set<int> taken_;
+  int node_ports_[kNodes] = {};
   std::string folder_;
   net::Loop loop_;
   standin::NoLog log_;
@@ -380,7 +384,7 @@
   std::vector<std::unique_ptr<standin::Engine>> engines_;
   std::vector<standin::Child> nodes_;
   std::vector<Nanos> leaving_since_;
-  standin::Child control_;
+  std::unique_ptr<standin::ControlFleet> control_;
   std::vector<std::unique_ptr<standin::AdsLink>> links_;
   std::vector<std::unique_ptr<standin::Proxy>> proxies_;
   net::Alarm beat_;
--- a/measure/rehearsal.h
+++ b/measure/rehearsal.h
@@ -20,7 +20,7 @@
 };
 
 struct Play {
-  bool with_control = true;
+  int instances = 1;  // of the control service, that decide as one; 0: even, static weights
   bool short_one = false;  // one trouble, for a demonstration
   double per_second = 300;
   unsigned seed = 7;
--- a/src/agreement/instance.cpp
+++ b/src/agreement/instance.cpp
@@ -25,6 +25,7 @@
       first_start_(first_start),
       random_(seed),
       router_(std::move(fleet), std::nullopt, first_start, clock_(), log_),
+      state_(terms.format),
       contact_(terms.id, terms.contact_lasts),
       book_(terms.contact_lasts) {
   // An instance may be wrong about being in touch for twice as long as contact lasts, and no shard moves in
@@ -83,7 +84,7 @@
   leading_ = false;
   asked_ = 0;
   changing_ = false;
-  state_ = State();
+  state_ = State(terms_.format);
   caught_up_at_ = target_at_ = 0;
   member_.reset();
   join();
--- a/src/agreement/state.cpp
+++ b/src/agreement/state.cpp
@@ -51,7 +51,7 @@
 }
 
 Verdict State::apply(const Decision& decision) {
-  if (decision.format() > kFormat) return Verdict::kNewer;
+  if (decision.format() > knows_) return Verdict::kNewer;
   State next = *this;
   Verdict verdict = next.check_and_apply(decision);
   if (verdict == Verdict::kTaken) {
@@ -67,6 +67,7 @@
   if (decision.basis() != epoch_.number) return Verdict::kOldBasis;
   if (decision.elapsed_ns() < 0 || decision.elapsed_ns() > kMostElapsed) return Verdict::kTime;
   epoch_ = {decision.term(), epoch_.number + 1};
+  form_ = std::max(form_, decision.format());
   time_ += decision.elapsed_ns();
   // A longer window holds for what cools already; so does a shorter one, as what it was made for is over.
   if (decision.window_ns() > 0) window_ = decision.window_ns();
@@ -190,7 +191,7 @@
 
 std::string State::image() const {
   Image out;
-  out.set_format(kFormat);
+  out.set_format(form_);
   out.set_term(epoch_.term);
   out.set_number(epoch_.number);
   out.set_owners_term(owners_epoch_.term);
@@ -232,8 +233,9 @@
 
 bool State::restore(std::string_view bytes) {
   Image in;
-  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.format() > kFormat) return false;
-  State out;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.format() > knows_) return false;
+  State out(knows_);
+  out.form_ = std::max(1u, in.format());
   out.epoch_ = {in.term(), in.number()};
   out.owners_epoch_ = {in.owners_term(), in.owners_number()};
   out.time_ = in.time_ns();
--- a/src/agreement/state.h
+++ b/src/agreement/state.h
@@ -53,6 +53,9 @@
 
 class State {
  public:
+  // `knows`: the newest form of entries that it takes.
+  explicit State(std::uint32_t knows = kFormat) : knows_(knows) {}
+
   Verdict apply(std::string_view entry);
   Verdict apply(const Decision& decision);
 
@@ -82,6 +85,8 @@
   Verdict step_shard(const ShardStep& step, const Decision& decision);
   bool shows_what_is_agreed(const control::Snapshot& picture) const;
 
+  std::uint32_t knows_;
+  std::uint32_t form_ = 1;  // the newest of what was agreed: an image is of no newer one
   Epoch epoch_;
   Epoch owners_epoch_;
   Nanos time_ = 0;
--- a/src/control/agreed.cpp
+++ b/src/control/agreed.cpp
@@ -64,6 +64,9 @@
   terms.id = options.id;
   terms.address = options.address;
   terms.log.fleet = fleet.listener;
+  terms.log.snapshot_after = options.snapshot_after;
+  terms.log.snapshot_trailing = std::min(terms.log.snapshot_trailing, options.snapshot_after / 4);
+  terms.format = options.format;
   terms.settings = settings;
   std::map<consensus::InstanceId, std::string> reach;
   for (const consensus::Server& other : options.reach) reach[other.id()] = other.address();
--- a/src/control/agreed.h
+++ b/src/control/agreed.h
@@ -23,6 +23,8 @@
   std::vector<consensus::Server>
       reach;          // others, where they are reached from here by another address than all know
   bool join = false;  // new: it waits until it is let in
+  std::uint32_t format = agreement::kFormat;  // the newest form of entries that it takes and writes
+  unsigned snapshot_after = 512;              // entries
 };
 
 // "1=127.0.0.1:7401,2=127.0.0.1:7402". Throws std::runtime_error.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -56,7 +58,8 @@
 
 // Of a file's bytes, so that instances see whether they have the same.
 std::uint64_t hash_of(const std::string& path) {
-  std::string bytes = load(path).value_or("");
+  std::ifstream in(path, std::ios::binary);
+  std::string bytes((std::istreambuf_iterator<char>(in)), {});
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
@@ -73,6 +76,10 @@
       log_(log),
       options_(std::move(options)),
       discovery_([this](const std::string& line) { log_.frequent(line); }),
+      state_(options_.state_folder.empty()
+                 ? nullptr
+                 : std::make_unique<StateStore>(options_.state_folder, loop,
+                                                [this](bool durable) { kept(durable); })),
       alone_(options_.agreement.id != 0
                  ? nullptr
                  : std::make_unique<routing::Router>(fleet::read_fleet(options_.fleet_path), remembered(),
@@ -103,12 +110,10 @@
 }
 
 std::optional<routing::Memory> Control::remembered() {
-  if (options_.state_path.empty()) return std::nullopt;
-  std::optional<std::string> bytes = load(options_.state_path);
-  if (!bytes) return std::nullopt;
-  std::optional<SavedState> state = unpacked(*bytes);
+  if (!state_ || state_->found().empty()) return std::nullopt;
+  std::optional<SavedState> state = unpacked(state_->found());
   if (!state) {
-    log_.line(options_.state_path + ": not a whole state file; nothing is known of who ran what");
+    log_.line(options_.state_folder + ": a state that makes no sense to this version; nothing is known of who ran what");
     return std::nullopt;
   }
   proxies_before_ = std::move(state->proxies);
@@ -285,34 +290,38 @@
   hear_proxies();
   if (agreed_) return serve_agreed();
   if (auto next = router_.step(loop_.now())) waiting_ = std::move(next);
-  // Nothing is served that would be forgotten over a crash: a key's new owner must still be known then.
-  bool kept = keep();
   if (!waiting_ && loop_.now() - trimmed_at_ > kTrimEvery) {
     trimmed_at_ = loop_.now();
     malloc_trim(0);
   }
-  if (!waiting_ || !kept) return;
-  publish(*waiting_);
-  waiting_.reset();
+  keep();
 }
 
-bool Control::keep() {
-  if (options_.state_path.empty()) return true;
-  Nanos now = loop_.now();
-  bool soon = waiting_ && fault_.empty();
-  if (!soon && now - tried_at_ < kKeepEvery) return false;
-  tried_at_ = now;
-  std::string bytes = packed({router_.memory(), discovery_.known()});
-  if (bytes == kept_) return true;
-  std::string fault = save(options_.state_path, bytes);
-  if (fault != fault_) {
-    log_.line(fault.empty() ? "state is kept on disk again"
-                            : fault + "; what was served last is served on until the disk is well");
+// Nothing is served that would be forgotten over a crash: a key's new owner must still be known then.
+void Control::keep() {
+  if (!state_ && waiting_) publish(*std::exchange(waiting_, nullptr));
+  if (!state_ || state_->busy()) return;
+  bool soon = waiting_ && !disk_fails_;
+  if (!soon && loop_.now() - tried_at_ < kKeepEvery) return;
+  tried_at_ = loop_.now();
+  covered_ = waiting_;
+  keeping_ = packed({router_.memory(), discovery_.known()});
+  keeping_ == kept_ ? kept(true) : state_->keep(keeping_);
+}
+
+void Control::kept(bool durable) {
+  if (disk_fails_ == durable) {
+    log_.line(durable ? "state is kept on disk again"
+                      : "state can't be kept on disk; what was served last is served on until the disk is well");
   }
-  fault_ = fault;
-  if (!fault.empty()) return false;
-  kept_ = std::move(bytes);
-  return true;
+  disk_fails_ = !durable;
+  if (!durable) return;
+  kept_ = std::move(keeping_);
+  if (!covered_) return;
+  publish(*covered_);
+  if (waiting_ == covered_) waiting_.reset();
+  covered_.reset();
+  if (waiting_) keep();
 }
 
 // ---- From operators
@@ -335,7 +344,7 @@
   out.set_applied_by_all(applied_);
   out.set_shards_closed(static_cast<std::uint32_t>(router_.shards().closed()));
   out.set_proxies_gone(static_cast<std::uint32_t>(discovery_.gone()));
-  out.set_disk_fails(!fault_.empty());
+  out.set_disk_fails(disk_fails_);
   if (agreed_) fill_instances(out);
   if (agreed_ && question == "instances") return out;
   if (question == "nodes") {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -15,6 +15,7 @@
 #include "control/discovery_service.h"
 #include "control/door.h"
 #include "control/saved_state.h"
+#include "control/state_store.h"
 #include "net/log.h"
 #include "routing/router.h"
 
@@ -28,7 +29,7 @@
 
 struct Options {
   std::string fleet_path;
-  std::string state_path;  // empty: nothing is kept
+  std::string state_folder;  // empty: nothing is kept
   bool first_start = false;
   Addresses addresses;
   AgreementOptions agreement;
@@ -61,7 +62,8 @@
   void fill_proxies(AdminAnswer& answer);
   void hear_proxies();
   void step();
-  bool keep();
+  void keep();
+  void kept(bool durable);
   void serve();
   void publish(const routing::Published& published);
   void serve_agreed();
@@ -74,7 +76,8 @@
   Options options_;
   DiscoveryService discovery_;
   LoadService loads_;
-  std::vector<std::string> proxies_before_;  // as the state file had them
+  std::unique_ptr<StateStore> state_;
+  std::vector<std::string> proxies_before_;  // as the last good state had them
   // One of these two: alone, or one instance of several.
   std::unique_ptr<routing::Router> alone_;
   std::unique_ptr<Agreed> agreed_;
@@ -90,8 +93,10 @@
   std::shared_ptr<const routing::Published> waiting_;  // decided, not yet kept on disk
   std::shared_ptr<const xds::ResourceSet> served_;
   std::shared_ptr<const xds::ResourceSet> closed_;  // the same without an open shard
-  std::string kept_;                                // as it is on disk
-  std::string fault_;
+  std::string kept_;                                   // as it is on disk
+  std::string keeping_;                                // on its way there
+  std::shared_ptr<const routing::Published> covered_;  // is known again from what is on its way
+  bool disk_fails_ = false;
   Nanos tried_at_ = 0;
   Nanos trimmed_at_ = 0;
   std::uint64_t applied_ = 0;
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -178,7 +178,7 @@
 
   CLI::App* serving = app.add_subcommand("serve", "Run the control service");
   serving->add_option("--fleet", fleet, "The fleet file")->required();
-  serving->add_option("--state", state, "Where the last good state is kept; without it nothing is");
+  serving->add_option("--state", state, "Folder where the last good state is kept; without it nothing is");
   serving->add_option("--xds", discovery, "Address for proxies")->capture_default_str();
   serving->add_option("--reports", reports, "Address for nodes' reports")->capture_default_str();
   serving->add_option("--admin", admin, "Address for the commands below")->capture_default_str();
@@ -194,6 +194,12 @@
   std::string reach;
   serving->add_option("--reach", reach, "Others, where they are reached from here by another address than all know");
   serving->add_flag("--join", agreement.join, "First start of one that is to be let in by 'let-in'");
+  serving->add_option("--hold-format", agreement.format,
+                      "Take and write no newer form of agreed entries, for an upgrade that may be taken back")
+      ->check(CLI::Range(1u, agreement::kFormat));
+  serving->add_option("--snapshot-after", agreement.snapshot_after, "Entries of the log between two snapshots")
+      ->check(CLI::Range(8u, 100'000u))
+      ->capture_default_str();
   CLI::App* again =
       app.add_subcommand("begin-again", "A majority is gone for good: go on with what this folder knows");
   again->add_option("--log", agreement.folder, "Folder of the instance with the highest epoch")->required();
@@ -228,7 +234,7 @@
       agreement.begin = control::instances_of(begin);
       agreement.reach = control::instances_of(reach);
       serve({.fleet_path = fleet,
-             .state_path = state,
+             .state_folder = state,
              .first_start = first_start,
              .addresses = {discovery, address_of(reports), address_of(admin)},
              .agreement = agreement});
--- a/src/control/saved_state.cpp
+++ b/src/control/saved_state.cpp
@@ -1,26 +1,10 @@
 #include "control/saved_state.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-#include <xxhash.h>
-
 #include <array>
-#include <cerrno>
-#include <cstring>
-#include <stdexcept>
-
-#include "store/numbers.h"
 
 namespace myrtlecroft::control {
 namespace {
 
-// The file: eight letters, then format and length and checksum of the rest, in eight bytes each, low byte
-// first.
-constexpr std::string_view kLetters = "MYRTCTRL";
-constexpr std::uint64_t kFormat = 1;
-constexpr std::size_t kHeader = 32;
-constexpr std::size_t kLargest = std::size_t{1} << 28;
-
 constexpr std::array<routing::State, routing::kStates> kStates = {
     routing::State::kPresumed, routing::State::kRamping, routing::State::kServing, routing::State::kLeaving,
     routing::State::kSick,     routing::State::kMute,    routing::State::kSilent};
@@ -40,22 +24,6 @@
   return routing::Health::kOut;
 }
 
-// Closes what it opened, whatever happens.
-class File {
- public:
-  explicit File(int descriptor) : descriptor_(descriptor) {}
-  File(const File&) = delete;
-  File& operator=(const File&) = delete;
-  ~File() {
-    if (descriptor_ >= 0) ::close(descriptor_);
-  }
-  int get() const { return descriptor_; }
-  bool open() const { return descriptor_ >= 0; }
-
- private:
-  int descriptor_;
-};
-
 }  // namespace
 
 // What can't be told from a sound snapshot by its own check is refused here: numbers that name nothing.
@@ -166,31 +134,13 @@
   }
   *file.mutable_snapshot() = to_proto(state.memory.snapshot);
   for (const std::string& proxy : state.proxies) file.add_proxies(proxy);
-  std::string body = file.SerializeAsString();
-  std::string out(kLetters);
-  store::put_number(out, kFormat);
-  store::put_number(out, std::uint64_t{body.size()});
-  store::put_number(out, XXH3_64bits(body.data(), body.size()));
-  return out + body;
+  return file.SerializeAsString();
 }
 
 std::optional<SavedState> unpacked(const std::string& bytes) {
-  std::string_view in(bytes);
-  if (in.size() < kHeader || in.substr(0, kLetters.size()) != kLetters ||
-      store::get_number<std::uint64_t>(in.substr(8)) != kFormat) {
-    return std::nullopt;
-  }
-  std::string_view body = in.substr(kHeader);
-  if (store::get_number<std::uint64_t>(in.substr(16)) != body.size() ||
-      store::get_number<std::uint64_t>(in.substr(24)) != XXH3_64bits(body.data(), body.size())) {
-    return std::nullopt;
-  }
   StateFile file;
   SavedState out;
-  if (!file.ParseFromArray(body.data(), static_cast<int>(body.size())) ||
-      !from_proto(file.snapshot(), out.memory.snapshot)) {
-    return std::nullopt;
-  }
+  if (!file.ParseFromString(bytes) || !from_proto(file.snapshot(), out.memory.snapshot)) return std::nullopt;
   for (const NodeMemory& node : file.nodes()) out.memory.nodes.push_back(from_proto(node));
   for (const ShardMemory& shard : file.shards()) {
     out.memory.shards.push_back({shard.node(), shard.life(), shard.open()});
@@ -199,42 +149,4 @@
   return out;
 }
 
-std::string save(const std::string& path, const std::string& bytes) {
-  const std::string beside = path + ".next";
-  auto failed = [&](const char* at) { return std::string(at) + " " + path + ": " + std::strerror(errno); };
-  {
-    File file(::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-    if (!file.open()) return failed("can't open");
-    for (std::size_t done = 0; done < bytes.size();) {
-      ssize_t wrote = ::write(file.get(), bytes.data() + done, bytes.size() - done);
-      if (wrote < 0 && errno == EINTR) continue;
-      if (wrote < 0) return failed("can't write");
-      done += static_cast<std::size_t>(wrote);
-    }
-    if (::fsync(file.get()) != 0) return failed("can't sync");
-  }
-  if (std::rename(beside.c_str(), path.c_str()) != 0) return failed("can't replace");
-  std::size_t slash = path.rfind('/');
-  File folder(::open(slash == std::string::npos ? "." : path.substr(0, slash + 1).c_str(),
-                     O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (!folder.open() || ::fsync(folder.get()) != 0) return failed("can't sync the folder of");
-  return "";
-}
-
-std::optional<std::string> load(const std::string& path) {
-  File file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
-  if (!file.open() && errno == ENOENT) return std::nullopt;
-  if (!file.open()) throw std::runtime_error(path + ": can't be read: " + std::strerror(errno));
-  std::string out;
-  char buffer[65'536];
-  while (out.size() < kLargest) {
-    ssize_t got = ::read(file.get(), buffer, sizeof buffer);
-    if (got < 0 && errno == EINTR) continue;
-    if (got < 0) throw std::runtime_error(path + ": can't be read: " + std::strerror(errno));
-    if (got == 0) break;
-    out.append(buffer, static_cast<std::size_t>(got));
-  }
-  return out;
-}
-
 }  // namespace myrtlecroft::control
--- a/src/control/saved_state.h
+++ b/src/control/saved_state.h
@@ -1,4 +1,4 @@
-// The last good state on disk: one file, replaced whole, with a checksum (docs/design/control-xds.md).
+// The last good state of a control service that decides alone, as bytes (docs/design/control-xds.md).
 #pragma once
 
 #include <optional>
@@ -21,14 +21,8 @@
 NodeMemory to_proto(const routing::Memory::Node& node);
 routing::Memory::Node from_proto(const NodeMemory& in);
 
-// The file's content, and back. Nothing where the bytes are no such file, cut short or changed.
+// As a record of the store, and back. Nothing where the bytes make no sense to this version.
 std::string packed(const SavedState& state);
 std::optional<SavedState> unpacked(const std::string& bytes);
 
-// Replaces the file by way of another one beside it; what was there before stays until the new one is whole
-// and on the disk. Says what went wrong, empty when nothing did.
-std::string save(const std::string& path, const std::string& bytes);
-// Nothing where there is no such file; throws std::runtime_error where it can't be read.
-std::optional<std::string> load(const std::string& path);
-
 }  // namespace myrtlecroft::control
--- a/standin/child.h
+++ b/standin/child.h
@@ -36,9 +36,9 @@
     ::execv(words[0], words.data());
     ::_exit(127);
   }
-  Child(Child&& other) noexcept : pid_(std::exchange(other.pid_, -1)) {}
+  Child(Child&& other) noexcept : pid_(std::exchange(other.pid_, -1)), code_(other.code_) {}
   Child& operator=(Child&& other) noexcept {
-    if (this != &other) end(SIGKILL), pid_ = std::exchange(other.pid_, -1);
+    if (this != &other) end(SIGKILL), pid_ = std::exchange(other.pid_, -1), code_ = other.code_;
     return *this;
   }
   ~Child() { end(SIGKILL); }
@@ -58,6 +58,16 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
   int pid() const { return pid_; }
+  // It has ended by itself, or was killed by another: then there is no process any more.
+  bool is_over() {
+    if (pid_ <= 0) return true;
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) == 0) return false;
+    code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    pid_ = -1;
+    return true;
+  }
+  int code() const { return code_; }  // of its exit, once is_over() has seen it; -1: killed
 
   // Memory in kB and CPU time in ms, so far.
   long resident_kb() const {
@@ -81,6 +91,7 @@
 
  private:
   pid_t pid_ = -1;
+  int code_ = -1;
 };
 
 }  // namespace myrtlecroft::standin
--- /dev/null
+++ b/standin/control_fleet.cpp
@@ -0,0 +1,77 @@
+#include "control_fleet.h"
+
+#include <sys/socket.h>
+
+#include <random>
+
+#include "net/address.h"
+
+namespace myrtlecroft::standin {
+
+int free_port(std::set<int>& taken) {
+  constexpr int kFirst = 12'000;
+  constexpr int kCount = 18'000;
+  static std::mt19937 draws(static_cast<unsigned>(::getpid()));
+  for (;;) {
+    int port = kFirst + static_cast<int>(draws() % kCount);
+    int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = net::loopback(static_cast<std::uint16_t>(port));
+    bool good = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(socket);
+    if (good && taken.insert(port).second) return port;
+  }
+}
+
+std::string on_loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+ControlFleet::ControlFleet(ControlFleetTerms terms, std::set<int>& taken)
+    : terms_(std::move(terms)), taken_(taken) {
+  for (int i = 0; i < terms_.instances; ++i) add();
+}
+
+int ControlFleet::add() {
+  Place place;
+  for (int* port : {&place.xds, &place.reports, &place.admin, &place.peer}) *port = free_port(taken_);
+  place.faults = std::make_unique<FaultFile>(terms_.folder + "/faults" + std::to_string(places_.size() + 1));
+  places_.push_back(std::move(place));
+  return size() - 1;
+}
+
+void ControlFleet::start(int at, Start how) {
+  Place& one = (*this)[at];
+  std::string id = std::to_string(at + 1);
+  std::vector<std::string> command = {
+      MYRTLECROFT_CONTROL, "serve",     "--fleet",
+      terms_.fleet,        "--xds",     on_loopback(one.xds),
+      "--reports",         on_loopback(one.reports), "--admin",
+      on_loopback(one.admin)};
+  if (terms_.agreed) {
+    command.insert(command.end(),
+                   {"--instance", id, "--peer", on_loopback(one.peer), "--log", state(at), "--reach", one.reach});
+    std::string all;
+    for (int k = 0; k < terms_.instances; ++k)
+      all += (k ? "," : "") + std::to_string(k + 1) + "=" + on_loopback((*this)[k].peer);
+    if (how == Start::kFirst) command.insert(command.end(), {"--begin", all});
+    if (how == Start::kJoin) command.push_back("--join");
+  } else {
+    command.insert(command.end(), {"--state", state(at)});
+  }
+  if (how == Start::kFirst) command.push_back("--first-start");
+  command.insert(command.end(), terms_.more.begin(), terms_.more.end());
+  one.process = Child(command, log(at), one.faults->variables(MYRTLECROFT_FAULTY));
+}
+
+void ControlFleet::start_all() {
+  for (int i = 0; i < size(); ++i) start(i, Start::kFirst);
+}
+
+std::string ControlFleet::discovery(int first) const {
+  std::string out = "ipv4:";
+  for (int k = 0; k < terms_.instances; ++k) {
+    const Place& place = places_[static_cast<std::size_t>((k + first) % terms_.instances)];
+    out += (k ? "," : "") + on_loopback(place.xds);
+  }
+  return out;
+}
+
+}  // namespace myrtlecroft::standin
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,8 +1,9 @@
 // The control service as a whole: on loopback, killed, with a sick disk, with broken peers, with a crowd.
 #include <gtest/gtest.h>
-#include <sys/stat.h>
+#include <sys/resource.h>
 
 #include <csignal>
+#include <stdexcept>
 
 #include "../standin/ads_link.h"
 #include "../standin/child.h"
@@ -36,7 +37,7 @@
   void write(const std::string& text) const { std::ofstream(folder.file("fleet.conf")) << text; }
   Options options() const {
     return {.fleet_path = folder.file("fleet.conf"),
-            .state_path = folder.file("state"),
+            .state_folder = folder.file("state"),
             .first_start = true,
             .addresses = {"127.0.0.1:0", loopback(0), loopback(0)}};
   }
@@ -66,27 +67,25 @@
   EXPECT_EQ(back->proxies, state.proxies);
 }
 
-TEST(SavedState, CutAnywhereOrWithAnyByteChangedIsNone) {
-  std::string bytes = packed(some_state());
-  for (std::size_t size = 0; size < bytes.size(); ++size)
-    EXPECT_FALSE(unpacked(bytes.substr(0, size))) << size;
-  for (std::size_t at = 0; at < bytes.size(); ++at) {
-    std::string bad = bytes;
-    bad[at] = static_cast<char>(bad[at] ^ 1);
-    EXPECT_FALSE(unpacked(bad)) << at;
-  }
-  EXPECT_FALSE(unpacked(bytes + "x"));
+TEST(SavedState, AFileOfAnEarlierVersionIsNotTakenForAFolder) {
+  Site site;
+  std::ofstream(site.folder.file("state")) << "MYRTCTRL";
+  net::Loop loop;
+  QuietLog log;
+  EXPECT_THROW(Control(loop, log, site.options()), std::runtime_error);
 }
 
-TEST(SavedState, AFailedSaveLeavesWhatWasThere) {
-  Folder folder;
-  std::string path = folder.file("state");
-  ASSERT_EQ(save(path, "first"), "");
-  ASSERT_EQ(::mkdir((path + ".next").c_str(), 0700), 0);  // the file beside it can't be made
-  EXPECT_NE(save(path, "second"), "");
-  EXPECT_EQ(load(path), "first");
-  EXPECT_EQ(load(folder.file("none")), std::nullopt);
-}
+// No file of this process may grow while it lives.
+struct FullDisk {
+  FullDisk() {
+    std::signal(SIGXFSZ, SIG_IGN);
+    getrlimit(RLIMIT_FSIZE, &before);
+    rlimit none{.rlim_cur = 0, .rlim_max = before.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &none);
+  }
+  ~FullDisk() { setrlimit(RLIMIT_FSIZE, &before); }
+  rlimit before{};
+};
 
 TEST(Control, WithASickDiskItServesOnWhatItServedAndSaysSo) {
   Site site;
@@ -96,13 +95,12 @@
     reporters.add("n" + std::to_string(i), "127.0.0.1:" + std::to_string(20'000 + i));
   AdsLink link(target(control.discovery_port()), true, "p1");
   ASSERT_TRUE(await([&] { return has_nodes(link, 3) && control.state_of("n3") == "serving"; }));
-  std::string beside = site.folder.file("state.next");
-  ASSERT_TRUE(await([&] { return ::mkdir(beside.c_str(), 0700) == 0; }));
+  auto full = std::make_unique<FullDisk>();
   reporters.set("n3", [](auto& report) { report.leaving = true; });
   ASSERT_TRUE(await([&] { return control.log().has("served on until the disk is well"); }));
   EXPECT_TRUE(has_nodes(link, 3));
   EXPECT_TRUE(ask(loopback(control.admin_port()), "nodes").disk_fails());
-  ::rmdir(beside.c_str());
+  full.reset();
   ASSERT_TRUE(await([&] { return has_nodes(link, 2); }));
   EXPECT_TRUE(control.log().has("kept on disk again"));
 }
--- a/tests/grpc_client_test.cpp
+++ b/tests/grpc_client_test.cpp
@@ -103,7 +103,7 @@
   void start() {
     control = std::make_unique<RunningControl>(Options{
         .fleet_path = folder.file("fleet.conf"),
-        .state_path = folder.file("state"),
+        .state_folder = folder.file("state"),
         .first_start = true,
         .addresses = {"127.0.0.1:" + std::to_string(discovery_port), loopback(reports_port), loopback(0)}});
     discovery_port = control->discovery_port();
--- a/tests/instances_test.cpp
+++ b/tests/instances_test.cpp
@@ -7,7 +7,10 @@
 
 #include "../measure/agreement_rig.h"
 #include "../standin/child.h"
+#include "../standin/control_fleet.h"
 #include "consensus/store_keeper.h"
+#include "control/ask.h"
+#include "control_harness.h"
 #include "report/frames.h"
 #include "xds/session_table.h"
 
@@ -166,6 +169,159 @@
   std::filesystem::remove(log);
 }
 
+// Real instances, two nodes that report to all of them, and no proxy.
+struct ControlStory : FolderStory {
+  explicit ControlStory(std::vector<std::string> more = {}) {
+    std::ofstream(folder + "/fleet.conf")
+        << "version = 1; listener = \"fleet\"; nodes = ({ name = \"n1\"; address = \"127.0.0.1:20001\"; }, "
+           "{ name = \"n2\"; address = \"127.0.0.1:20002\"; });\n"
+           "groups = ({ name = \"book\"; repeats = \"deduplicated\"; window_ms = 500; timeout_ms = 500; });\n"
+           "bounds = { silent_ms = 600; dwell_ms = 100; ramp_ms = 100; settle_ms = 20; shard_digits = 1; };\n";
+    fleet = std::make_unique<standin::ControlFleet>(
+        standin::ControlFleetTerms{
+            .folder = folder, .fleet = folder + "/fleet.conf", .instances = 3, .agreed = true, .more = more},
+        taken);
+    fleet->start_all();
+    for (const auto& place : fleet->all()) {
+      reporters.push_back(std::make_unique<control::Reporters>(static_cast<std::uint16_t>(place.reports)));
+      reporters.back()->add("n1", "127.0.0.1:20001");
+      reporters.back()->add("n2", "127.0.0.1:20002");
+    }
+  }
+  ~ControlStory() override { fleet.reset(); }
+  control::AdminAnswer ask(int at, const std::string& question = "instances") {
+    try {
+      return control::ask(net::loopback(static_cast<std::uint16_t>((*fleet)[at].admin)), question);
+    } catch (const std::exception&) {
+      return {};
+    }
+  }
+  int leader() {
+    for (int i = 0; i < fleet->size(); ++i) {
+      control::AdminAnswer answer = ask(i);
+      if (answer.in_touch() && answer.leader() == static_cast<std::uint64_t>(i + 1)) return i;
+    }
+    return -1;
+  }
+  bool votes(int at) {
+    int asked = leader();
+    if (asked < 0) return false;
+    control::AdminAnswer answer = ask(asked);
+    return std::any_of(answer.instances().begin(), answer.instances().end(), [&](const auto& row) {
+      return row.id() == static_cast<std::uint64_t>(at + 1) && row.part() == "votes";
+    });
+  }
+  bool in_touch(int at) { return ask(at).in_touch(); }
+  // Two that were asked at one epoch say the same state.
+  bool agree(const std::vector<int>& asked) {
+    return control::await([&] {
+      std::set<std::string> digests;
+      std::set<std::uint64_t> epochs;
+      for (int at : asked) {
+        control::AdminAnswer answer = ask(at);
+        digests.insert(answer.digest());
+        epochs.insert(answer.epoch());
+      }
+      return epochs.size() == 1 && digests.size() == 1 && *epochs.begin() > 0;
+    });
+  }
+  // A node that says again and again that it leaves and stays: decisions without end.
+  void flap(bool leaving) {
+    for (auto& one : reporters) one->set("n1", [&](auto& report) { report.leaving = leaving; });
+  }
+  std::set<int> taken;
+  std::unique_ptr<standin::ControlFleet> fleet;
+  std::vector<std::unique_ptr<control::Reporters>> reporters;
+};
+
+// A new instance writes who it is, its vote, what it is sent and that it belongs: killed at each of these.
+TEST_F(ControlStory, KilledAtAnyStepOfJoiningAnInstanceJoinsAllTheSame) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0; }));
+  int killed = 0;
+  for (int sync = 1; sync <= 6; ++sync) {
+    int at = fleet->add();
+    standin::ControlFleet::Place& place = (*fleet)[at];
+    place.faults->die_at_next(sync);
+    fleet->start(at, standin::ControlFleet::Start::kJoin);
+    ASSERT_TRUE(control::await([&] { return leader() >= 0; }));
+    auto let_in = [&] {
+      return "let-in " + std::to_string(at + 1) + " " + standin::on_loopback(place.peer);
+    };
+    ASSERT_TRUE(control::await([&] {
+      if (!place.process.is_over()) return votes(at) || (ask(leader(), let_in()), false);
+      ++killed;
+      (*place.faults)->die_at_sync = 0;
+      fleet->start(at, standin::ControlFleet::Start::kJoin);
+      return false;
+    })) << "killed at sync " << sync;
+    ASSERT_TRUE(agree({leader(), at}));
+    ASSERT_TRUE(control::await([&] {
+      ask(leader(), "let-out " + std::to_string(at + 1));
+      return !votes(at);
+    }));
+    place.process.end(SIGKILL);
+  }
+  EXPECT_GE(killed, 4);
+}
+
+struct SnapshotStory : ControlStory {
+  SnapshotStory() : ControlStory({"--snapshot-after", "8"}) {}
+};
+
+TEST_F(SnapshotStory, KilledAtAnySyncOfItsSnapshotsAnInstanceKnowsAllThatWasAgreed) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0; }));
+  bool leaving = false;
+  for (int sync = 1; sync <= 8; ++sync) {
+    int led = leader();
+    int at = (std::max(0, led) + 1) % 3;
+    standin::ControlFleet::Place& place = (*fleet)[at];
+    std::uint64_t before = ask(at).epoch();
+    place.faults->die_at_next(sync);
+    ASSERT_TRUE(control::await([&] {
+      flap(leaving = !leaving);
+      return place.process.is_over();
+    })) << "sync " << sync;
+    (*place.faults)->die_at_sync = 0;
+    fleet->start(at);
+    ASSERT_TRUE(control::await([&] { return in_touch(at); })) << "sync " << sync;
+    EXPECT_GE(ask(at).epoch(), before);
+  }
+  flap(false);
+  EXPECT_TRUE(agree({0, 1, 2}));
+  EXPECT_GT(ask(0).epoch(), 16u) << "snapshots were taken on the way";
+}
+
+TEST_F(ControlStory, AnInstanceWhoseDiskFailsServesOnAndVotesNoMore) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0 && ask(leader()).published() > 0; }));
+  int led = leader();
+  for (auto fail : {&standin::Faults::sync_error, &standin::Faults::write_error}) {
+    led = leader();
+    standin::Faults& faults = *(*fleet)[led].faults->operator->();
+    faults.*fail = fail == &standin::Faults::sync_error ? EIO : ENOSPC;
+    ASSERT_TRUE(control::await([&] { return leader() >= 0 && leader() != led; })) << "another leads";
+    ASSERT_TRUE(control::await([&] { return ask(led).disk_fails(); }));
+    EXPECT_GT(ask(led).published(), 0u) << "what it served it serves on";
+    faults.*fail = 0;
+    ASSERT_TRUE(control::await([&] { return !ask(led).disk_fails() && in_touch(led); }));
+  }
+  EXPECT_TRUE(agree({0, 1, 2}));
+}
+
+TEST_F(ControlStory, AWallClockThatIsWrongMovesNoDecision) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0 && ask(leader(), "nodes").nodes(1).state() == "serving"; }));
+  int led = leader();
+  // An hour ahead: reports look old, which is nothing. Then behind: they look as if from the future.
+  for (std::int64_t hours : {1, -1}) {
+    (*(*fleet)[led].faults)->wall_step_ns = hours * 3600 * kSecond;
+    std::uint64_t before = ask(led).epoch();
+    ASSERT_TRUE(control::await([&] { return ask(led).epoch() > before + 3; }));
+    EXPECT_EQ(leader(), led);
+    EXPECT_EQ(ask(led).shards_closed(), 0u);
+  }
+  (*(*fleet)[led].faults)->wall_step_ns = 0;
+  EXPECT_TRUE(agree({0, 1, 2}));
+}
+
 // Leaders killed, stopped and cut off one way, links reset, cut in mid frame and late, nodes killed and cut
 // off, under load: what make measure-agreement plays for minutes.
 TEST(AgreementProcesses, NothingRunsTwiceAndNothingAgreedIsLost) {
@@ -184,5 +340,15 @@
   EXPECT_GT(result.completed, 0);
 }
 
+// A node's shards move while whoever leads is killed at one sync after another.
+TEST(AgreementProcesses, KilledAtAnyStepOfAChangeOfOwnerNothingRunsTwice) {
+  rehearsal::RigTerms terms;
+  terms.incident = rehearsal::read_incident(MYRTLECROFT_INCIDENTS "/owner-moves.conf");
+  terms.seed = 4;
+  rehearsal::RigResult result = rehearsal::play(terms);
+  EXPECT_EQ(result.violations(), 0) << result.first << ", logs in " << result.folder;
+  EXPECT_GT(result.completed, result.offered / 3);
+}
+
 }  // namespace
 }  // namespace myrtlecroft
