--- a/deploy/setup.sh
+++ b/deploy/setup.sh
@@ -3,7 +3,8 @@
 # installation to end.
 set -euo pipefail
 needed=(g++ cmake pkg-config libsimdjson-dev libevent-dev libspdlog-dev libgtest-dev libconfig++-dev libxxhash-dev
-        librapidcheck-dev libgrpc++-dev protobuf-compiler-grpc libprotobuf-dev libcli11-dev libhdf5-dev libraft-dev)
+        librapidcheck-dev libgrpc++-dev protobuf-compiler-grpc libprotobuf-dev libcli11-dev libhdf5-dev libraft-dev
+        libboost-dev libncurses-dev)
 missing=()
 for package in "${needed[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/measure/agreement_world.h
+++ b/measure/agreement_world.h
@@ -15,6 +15,7 @@
 
 #include "agreement/fence.h"
 #include "agreement/instance.h"
+#include "releases/conductor.h"
 
 namespace myrtlecroft::rehearsal {
 
@@ -30,6 +31,9 @@
   Nanos quiet_for = 25 * kSecond;  // then all is well again, and must come back
   Nanos window = 2000 * kMs;
   bool fences = true;  // false: nodes take what comes, to see that it matters
+  // Operators start releases, some of a bad version, halt them, take them back and drain nodes, at any instance.
+  bool releases = true;
+  int most_out = 2;  // nodes at once
 };
 
 struct WorldResult {
@@ -44,8 +48,15 @@
   int refused_folders = 0;  // put back from an older copy, and found out
   int wrong_drafts = 0;     // a leader drew up what the rules refuse
   int not_back = 0;         // after the quiet: no leader, somebody out of touch, or a shard still closed
+  int releases = 0;         // begun
+  int restarts = 0;         // of nodes, as they were told
+  int over = 0;             // more nodes out by choice than may be
+  int unpermitted = 0;      // a node went that nobody had agreed to let go
+  int bad_finished = 0;     // a bad version that came to all nodes
   std::string first;        // what was violated first, and when
-  int violations() const { return doubled + split_owners + stale_acted + lost_entries + not_back; }
+  int violations() const {
+    return doubled + split_owners + stale_acted + lost_entries + not_back + over + unpermitted + bad_finished;
+  }
 };
 
 class World {
@@ -91,6 +102,9 @@
   void try_key(std::shared_ptr<Key> key);
   void arrive(Node& node, std::shared_ptr<Key> key);
   void fault();
+  void operate();
+  void obey(Node& node, const agreement::Order& order, Nanos asked_at);
+  void follow_trips(const agreement::State& state);
   void heal();
   void look();
   void violate(int& count, const std::string& what);
@@ -113,6 +127,9 @@
   double twice_ = 0;
   std::map<std::uint64_t, std::uint64_t> digests_;  // of each epoch's number, as first seen
   std::uint64_t agreed_ = 0;                        // the last that anybody applied
+  std::map<std::string, Nanos> let_go_;             // nodes, and when they last had leave to go
+  std::set<std::uint32_t> bad_;                     // versions
+  std::uint32_t next_version_ = 2;
   WorldResult result_;
 };
 
--- a/measure/incident.h
+++ b/measure/incident.h
@@ -23,7 +23,9 @@
   kDiskFull,   // every write does
   kDiskSlow,   // each sync takes so long
   kClock,      // the wall clock is off by so much
-  kKillAtSync  // killed as it begins its Nth sync from now; it starts again afterwards
+  kKillAtSync,  // killed as it begins its Nth sync from now; it starts again afterwards
+  kNoise,       // a node's engine is slower by so many times
+  kCommand      // operators say something to an instance
 };
 enum class Way { kThere, kBack, kBoth };  // seen from whom the step names
 
@@ -46,11 +48,26 @@
   Nanos by = 0;           // late, disk slow, clock
   std::size_t bytes = 0;  // cut frame
   int count = 0;          // kill at sync
+  double times = 1;       // noise
+  std::string say;        // command
 };
 std::string told(const Step& step);
 // Of a link between two processes, not of one process.
 bool on_links(Fault fault);
 
+// What is wrong with a version of the node's program.
+enum class Bad { kNone, kSlow, kUnderLoad, kLater, kOneGroup, kSilent };
+constexpr int kBads = 6;
+const char* name_of(Bad bad);
+
+// Begins when the one before it is over.
+struct ReleaseWanted {
+  Nanos at = 0;
+  int to = 2;
+  Bad bad = Bad::kNone;
+  int by = 0;  // the instance that is asked
+};
+
 struct Incident {
   int instances = 3;
   int nodes = 3;
@@ -59,6 +76,17 @@
   Nanos length = 20 * kSecond;
   double faults_per_s = 0;  // drawn, beside the steps
   std::vector<Step> steps;
+  // For releases: reads beside the keyed exchanges, of two groups, and a fleet with budgets.
+  double reads_per_s = 0;
+  double read_ms = 100;  // of a core
+  int zones = 2;
+  int services = 0;
+  double most_out = 0.1;
+  double service_most_out = 0.25;
+  Nanos restart = 800 * kMs;  // from a node's end to its start in the other version
+  Nanos soak = 6 * kSecond;
+  int first_nodes = 3;
+  std::vector<ReleaseWanted> releases;
 };
 
 // Throws settings::DocumentError.
--- a/measure/measure_agreement_sim.cpp
+++ b/measure/measure_agreement_sim.cpp
@@ -41,6 +41,11 @@
       all.refused_folders += one.refused_folders;
       all.wrong_drafts += one.wrong_drafts;
       all.not_back += one.not_back;
+      all.releases += one.releases;
+      all.restarts += one.restarts;
+      all.over += one.over;
+      all.unpermitted += one.unpermitted;
+      all.bad_finished += one.bad_finished;
       if (one.violations() > 0 && ++broken <= 20) std::printf("%s\n", one.first.c_str());
     }
   };
@@ -50,10 +55,11 @@
   std::printf(
       "measured agreement_sim seeds=%d broken=%d faults=%d decisions=%llu runs=%llu denied=%llu doubled=%d "
       "split_owners=%d "
-      "stale_acted=%d lost_entries=%d wrong_drafts=%d not_back=%d refused_folders=%d\n",
+      "stale_acted=%d lost_entries=%d wrong_drafts=%d not_back=%d refused_folders=%d releases=%d restarts=%d over=%d unpermitted=%d "
+      "bad_finished=%d\n",
       seeds, broken, all.faults, static_cast<unsigned long long>(all.decisions),
       static_cast<unsigned long long>(all.runs), static_cast<unsigned long long>(all.denied), all.doubled,
       all.split_owners, all.stale_acted, all.lost_entries, all.wrong_drafts, all.not_back,
-      all.refused_folders);
+      all.refused_folders, all.releases, all.restarts, all.over, all.unpermitted, all.bad_finished);
   return broken > 0;
 }
--- a/measure/rehearse.cpp
+++ b/measure/rehearse.cpp
@@ -36,6 +36,15 @@
     std::fputs(result.table.c_str(), stdout);
     if (!result.first.empty())
       std::printf("first: %s; logs in %s\n", result.first.c_str(), result.folder.c_str());
+    for (const rehearsal::ReleaseSeen& one : result.releases) {
+      std::printf("release to %d, %s: %s after %.1f s, reached %.2f%s\n", one.wanted.to,
+                  rehearsal::name_of(one.wanted.bad), one.outcome.c_str(), one.took_s, one.reached,
+                  one.stopped ? ("; stopped: " + one.reason).c_str() : "");
+    }
+    if (!result.releases.empty())
+      std::printf("out by choice at most %d of %d, of one service %d of %d; over %d, unpermitted %d, drain violations %d\n",
+                  result.most_out, result.allowed, result.below_most_out, result.below_allowed, result.over,
+                  result.unpermitted, result.drain_violations);
     std::printf(
         "measured rehearse seed=%u faults=%d offered=%d completed=%d runs=%d doubled=%d lost=%d "
         "split_owners=%d stale_acted=%d "
--- a/src/agreement/draft.cpp
+++ b/src/agreement/draft.cpp
@@ -60,10 +60,12 @@
     const char* state = routing::name_of(member.state);
     bool same = known != agreed.nodes().end() && known->second.state() == state &&
                 known->second.life() == member.life && known->second.flaps() == member.flaps &&
+                (known->second.version() == member.version || leading.format < kOutingsFormat) &&
                 std::abs(known->second.weight() - member.weight) < kWeightWorthAgreeing;
     if (same) continue;
     *out.add_nodes() = control::to_proto(
-        routing::Memory::Node{member.node.name, member.state, member.life, member.weight, member.flaps});
+        routing::Memory::Node{member.node.name, member.state, member.life, member.weight, member.flaps,
+                              leading.format < kOutingsFormat ? 0 : member.version});
   }
   for (const auto& [name, node] : agreed.nodes()) {
     if (!there.contains(name)) out.add_nodes_gone(name);
@@ -114,6 +116,7 @@
 
 Decision draft(const State& agreed, const Leading& leading) {
   Decision out;
+  out.set_format(leading.format);
   const fleet::Fleet& fleet = leading.router->fleet();
   Nanos window = leading.router->window();
   if (window != agreed.window()) out.set_window_ns(window);
@@ -153,7 +156,7 @@
   return decision.begin_shards() > 0 || decision.window_ns() > 0 || decision.forget_proxies_ns() > 0 ||
          decision.nodes_size() > 0 || decision.nodes_gone_size() > 0 || decision.shards_size() > 0 ||
          decision.has_picture() || decision.proxies_here_size() > 0 || decision.proxies_gone_size() > 0 ||
-         decision.permits_size() > 0 || decision.instances_size() > 0 || decision.instances_gone_size() > 0;
+         Outings::says_something(decision) || decision.instances_size() > 0 || decision.instances_gone_size() > 0;
 }
 
 }  // namespace myrtlecroft::agreement
--- a/src/agreement/draft.h
+++ b/src/agreement/draft.h
@@ -50,6 +50,7 @@
   std::set<std::uint64_t> members;                    // who belongs
   std::uint64_t applied = 0;                          // by all proxies, as the router was told
   bool first_start = false;
+  std::uint32_t format = 1;  // that all instances know
 };
 
 // The parts of a decision that differ from the agreed state; basis, term and time are the proposer's to fill
--- a/src/agreement/fence.h
+++ b/src/agreement/fence.h
@@ -14,12 +14,17 @@
 
 namespace myrtlecroft::agreement {
 
-// What a node is told: which shards of the keys are its own, by which decision.
+constexpr std::uint8_t kMostVersion = 99;  // of a program or its settings, as an installation numbers them
+
+// What a node is told: which shards of the keys are its own, by which decision; and whether it is to end and
+// be started in another version.
 struct Order {
   Epoch epoch;
   std::uint64_t life = 0;  // of the node that it is meant for
   int shard_digits = 2;
   std::vector<std::uint16_t> shards;
+  std::uint64_t answers = 0;  // the report that it answers: what is older than a moment restarts nobody
+  std::optional<std::uint8_t> restart_as;
   bool operator==(const Order&) const = default;
 };
 
--- a/src/agreement/instance.cpp
+++ b/src/agreement/instance.cpp
@@ -10,6 +10,8 @@
 
 constexpr Nanos kRejoinEvery = 500 * kMs;    // after a failure of the disk
 constexpr Nanos kVouchedAfter = 3000 * kMs;  // where not all others speak, a majority does
+constexpr Nanos kPassEvery = 200 * kMs;      // a command, until its result is agreed
+constexpr std::size_t kMostCommands = 16;    // that wait
 constexpr std::uint64_t kCaughtUp = 3;  // decisions that a new instance may lack when it is given its vote
 
 }  // namespace
@@ -106,6 +108,7 @@
     rejoin();
   }
   if (now() - said_at_ >= terms_.say_every) say();
+  pass_commands();
   if (!member_->ready()) {
     changing_ = false;
     if (leading_) log_("no longer deciding, term " + std::to_string(member_->term()));
@@ -114,6 +117,7 @@
   }
   if (now() >= due_at_) {
     due_at_ = now() + terms_.beat;
+    if (chapter_) chapter_->watch(view(state_.time(), 0));
     if (member_->ready() && in_touch()) {
       decide();
     } else {
@@ -140,6 +144,9 @@
     return false;
   if (message.what_case() == consensus::PeerMessage::kWord) {
     hear(message);
+  } else if (message.what_case() == consensus::PeerMessage::kCommand) {
+    if (member_->leads() && commands_.size() < kMostCommands)
+      commands_[message.command().id()] = message.command().text();
   } else if (proven_) {
     member_->received(message);
   }
@@ -229,6 +236,52 @@
   router_.resume(nodes, state_.shards(), published_);
 }
 
+// The newest form of entries that all who belong know.
+std::uint32_t Instance::format_of_all() const {
+  std::uint32_t out = terms_.format;
+  for (const consensus::Server& server : member_->servers()) {
+    auto known = state_.instances().find(server.id());
+    out = std::min(out, known == state_.instances().end() ? 1 : known->second.format);
+  }
+  return out;
+}
+
+Chapter::View Instance::view(Nanos time, std::uint64_t applied) const {
+  return {state_, router_, commands_, applied, time, now()};
+}
+
+std::uint64_t Instance::command(const std::string& text) {
+  std::uint64_t id = std::uint64_t{random_()} << 32 | random_();
+  own_commands_[id] = text;
+  passed_at_ = 0;
+  soon();
+  return id;
+}
+
+// Said again until its result is agreed: a leader that dies with it has done nothing, or has it agreed.
+void Instance::pass_commands() {
+  auto known = [&](const auto& one) { return state_.outings().result(one.first) != nullptr; };
+  std::erase_if(own_commands_, known);
+  std::erase_if(commands_, known);
+  if (!member_->leads()) commands_.clear();
+  if (own_commands_.empty() || now() - passed_at_ < kPassEvery) return;
+  passed_at_ = now();
+  if (member_->leads()) commands_.insert(own_commands_.begin(), own_commands_.end());
+  for (const consensus::Server& server : member_->servers()) {
+    if (server.id() != member_->leader() || server.id() == terms_.id) continue;
+    for (const auto& [id, text] : own_commands_) {
+      consensus::PeerMessage message;
+      message.set_fleet(terms_.log.fleet);
+      message.set_from(terms_.id);
+      message.set_to(server.id());
+      message.set_address(terms_.address);
+      message.mutable_command()->set_id(id);
+      message.mutable_command()->set_text(text);
+      wire_.send(message, server.address());
+    }
+  }
+}
+
 void Instance::decide() {
   if (asked_ != 0) return;  // one at a time: each is drawn from the one before
   if (!leading_) {
@@ -253,7 +306,10 @@
   Nanos since = elapsed();
   std::shared_ptr<const routing::Published> next = router_.step(now(), state_.time() + since);
   leading.next = next.get();
+  leading.format = format_of_all();
   Decision decision = draft(state_, leading);
+  if (chapter_ && leading.format >= kOutingsFormat && state_.epoch().number > 0 && decision.begin_shards() == 0)
+    chapter_->draft(view(state_.time() + since, leading.applied), decision);
   if (!says_something(decision) && now() - proposed_at_ < terms_.time_every) return;
   decision.set_elapsed_ns(since);
   propose(std::move(decision));
@@ -305,7 +361,6 @@
 }
 
 void Instance::propose(Decision decision) {
-  decision.set_format(kFormat);
   decision.set_proposer(terms_.id);
   decision.set_term(member_->term());
   decision.set_basis(state_.epoch().number);
@@ -348,6 +403,7 @@
   applied_at_ = now();
   new_ = true;
   seen_ = std::max(seen_, state_.epoch().number);
+  router_.call_out(state_.outings().called_out());
   if (state_.published() == 0 || (published_ && published_->number >= state_.published())) return;
   routing::Published next{.number = state_.published(), .snapshot = {}};
   if (!control::from_proto(state_.picture(), next.snapshot)) return;
@@ -367,6 +423,9 @@
       out.shards.push_back(static_cast<std::uint16_t>(at));
     }
   }
+  const AgreedTrip* trip = state_.outings().trip(node);
+  if (trip && trip->place == TripPlace::kOrdered && trip->life == out.life)
+    out.restart_as = static_cast<std::uint8_t>(trip->version);
   return out;
 }
 
--- a/src/agreement/instance.h
+++ b/src/agreement/instance.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,23 @@
   std::uint32_t format = kFormat;
 };
 
+// What a package above this one concludes, as further steps of the decision that is drawn up.
+class Chapter {
+ public:
+  virtual ~Chapter() = default;
+  struct View {
+    const State& agreed;
+    const routing::Router& router;
+    const std::map<std::uint64_t, std::string>& commands;  // of operators, that have no agreed result yet
+    std::uint64_t applied = 0;                             // the publication that all proxies have
+    Nanos time = 0;                                        // agreed, once this decision is in force
+    Nanos now = 0;
+  };
+  // Each beat, whoever decides: so that whoever leads next has measured already.
+  virtual void watch(const View& view) = 0;
+  virtual void draft(const View& view, Decision& out) = 0;
+};
+
 class Instance final : public consensus::Machine {
  public:
   using Log = std::function<void(const std::string&)>;
@@ -45,6 +63,11 @@
   void fleet_changed(fleet::Fleet fleet, std::uint64_t settings);
   // All proxies that are served here now.
   void proxies(google::protobuf::RepeatedPtrField<consensus::ProxyWord> here);
+  // Outlives this instance; nullptr: none.
+  void set_chapter(Chapter* chapter) { chapter_ = chapter; }
+  // From operators. Its result is agreed, or it comes to nothing: the id under which it is to be found.
+  std::uint64_t command(const std::string& text);
+  void forget_command(std::uint64_t id) { own_commands_.erase(id); }
   // Not left to the beat.
   void soon() { due_at_ = 0; }
 
@@ -98,6 +121,9 @@
   void propose(Decision decision);
   void take_up();
   void promote_who_caught_up();
+  void pass_commands();
+  std::uint32_t format_of_all() const;
+  Chapter::View view(Nanos time, std::uint64_t applied) const;
   void follow_target();
   void hear(const consensus::PeerMessage& message);
   void in_force();
@@ -135,6 +161,10 @@
   std::uint64_t seen_ = 0;   // the highest decision that was applied here, also by an earlier part in the log
   std::uint64_t asked_ = 0;  // the proposal that is out; 0: none
   std::uint64_t asks_ = 0;
+  Chapter* chapter_ = nullptr;
+  std::map<std::uint64_t, std::string> own_commands_;  // asked here
+  std::map<std::uint64_t, std::string> commands_;      // to be decided, where this one leads
+  Nanos passed_at_ = 0;
   bool leading_ = false;
   bool new_ = false;
   bool was_in_touch_ = false;
--- /dev/null
+++ b/src/agreement/outings.cpp
@@ -0,0 +1,380 @@
+#include "agreement/outings.h"
+
+#include <algorithm>
+
+#include "routing/members.h"
+
+namespace myrtlecroft::agreement {
+namespace {
+
+constexpr std::uint64_t kOne = 1000;      // thousandths
+constexpr std::size_t kMostResults = 32;  // of commands, that are still known
+
+struct TripRule {
+  TripPlace place;
+  TripInput input;
+  TripPlace next;
+};
+
+// A grant, a node that is warm, an extension and giving up have no row: they begin, end or keep a place.
+constexpr TripRule kTripRules[] = {
+    {TripPlace::kEmptying, TRIP_EMPTIED, TripPlace::kEmpty},
+    {TripPlace::kEmpty, TRIP_ORDER, TripPlace::kOrdered},
+    {TripPlace::kOrdered, TRIP_CAME_BACK, TripPlace::kWarming},
+    {TripPlace::kEmptying, TRIP_CALL_BACK, TripPlace::kReturning},
+    {TripPlace::kEmpty, TRIP_CALL_BACK, TripPlace::kReturning},
+    {TripPlace::kOrdered, TRIP_CALL_BACK, TripPlace::kReturning},
+    {TripPlace::kReturning, TRIP_CAME_BACK, TripPlace::kWarming},  // it had gone all the same
+};
+
+struct ReleaseRule {
+  Phase phase;
+  ReleaseInput input;
+  Phase next;
+};
+
+constexpr ReleaseRule kReleaseRules[] = {
+    {PHASE_NONE, RELEASE_START, PHASE_ROLLING},
+    {PHASE_DONE, RELEASE_START, PHASE_ROLLING},
+    {PHASE_TAKEN_BACK, RELEASE_START, PHASE_ROLLING},
+    {PHASE_ROLLING, RELEASE_WAVE_BACK, PHASE_SOAKING},
+    {PHASE_SOAKING, RELEASE_NEXT_WAVE, PHASE_ROLLING},
+    {PHASE_SOAKING, RELEASE_FINISH, PHASE_DONE},
+    {PHASE_ROLLING, RELEASE_HALT, PHASE_HALTED},
+    {PHASE_SOAKING, RELEASE_HALT, PHASE_HALTED},
+    {PHASE_HALTED, RELEASE_RESUME, PHASE_ROLLING},
+    {PHASE_HALTED, RELEASE_FINISH, PHASE_DONE},  // left as it is
+    {PHASE_ROLLING, RELEASE_GO_BACK, PHASE_BACK},
+    {PHASE_SOAKING, RELEASE_GO_BACK, PHASE_BACK},
+    {PHASE_HALTED, RELEASE_GO_BACK, PHASE_BACK},
+    {PHASE_BACK, RELEASE_IS_BACK, PHASE_TAKEN_BACK},
+    {PHASE_BACK, RELEASE_HALT, PHASE_BACK_HALTED},
+    {PHASE_BACK_HALTED, RELEASE_RESUME, PHASE_BACK},
+    {PHASE_BACK_HALTED, RELEASE_FINISH, PHASE_TAKEN_BACK},
+};
+
+bool serves(const control::NodeMemory& node) {
+  return node.state() == routing::name_of(routing::State::kServing);
+}
+
+}  // namespace
+
+const char* name_of(TripPlace place) {
+  constexpr const char* names[kTripPlaces] = {"emptying", "empty", "ordered", "warming", "returning"};
+  return names[static_cast<std::size_t>(place)];
+}
+
+const char* name_of(Phase phase) {
+  switch (phase) {
+    case PHASE_ROLLING:
+      return "rolling";
+    case PHASE_SOAKING:
+      return "soaking";
+    case PHASE_HALTED:
+      return "halted";
+    case PHASE_BACK:
+      return "going back";
+    case PHASE_BACK_HALTED:
+      return "halted on the way back";
+    case PHASE_DONE:
+      return "done";
+    case PHASE_TAKEN_BACK:
+      return "taken back";
+    default:
+      return "none";
+  }
+}
+
+bool Outings::says_something(const Decision& decision) {
+  return decision.has_budgets() || decision.trips_size() > 0 || decision.drains_size() > 0 ||
+         decision.has_release() || decision.results_size() > 0;
+}
+
+bool Outings::apply(const Decision& decision, const Around& around) {
+  orders_changed_ = false;
+  if (decision.has_budgets()) {
+    budgets_ = decision.budgets();
+    capacities_.clear();
+    for (const Capacity& one : budgets_.capacities()) capacities_[one.node()] = one.capacity();
+  }
+  for (const DrainStep& one : decision.drains()) {
+    if (one.wanted() == drains_.contains(one.node())) return false;
+    one.wanted() ? void(drains_.insert(one.node())) : void(drains_.erase(one.node()));
+    if (AgreedTrip* trip = one.wanted() || !trips_.contains(one.node()) ? nullptr : &trips_[one.node()];
+        trip && trip->why == WHY_DRAIN && trip->gets_nothing()) {
+      enter(*trip, TripPlace::kReturning, around);
+    }
+  }
+  if (decision.has_release() && !step(decision.release(), around)) return false;
+  for (const TripStep& one : decision.trips()) {
+    if (!step(one, around)) return false;
+  }
+  // What is shown out from now on is out in this publication.
+  for (const control::NodeRoute& node : around.picture.nodes()) {
+    auto trip = trips_.find(node.name());
+    if (trip == trips_.end() || trip->second.shown_in != 0 || !trip->second.gets_nothing()) continue;
+    if (node.weight() == 0) trip->second.shown_in = around.picture.number();
+  }
+  std::vector<std::string> over;
+  for (const auto& [node, trip] : trips_) {
+    if (trip.until <= around.time) over.push_back(node);
+  }
+  for (const std::string& node : over) end(node, "its permit ran out");
+  for (const CommandResult& one : decision.results()) {
+    if (result(one.id())) return false;
+    results_.push_back(one);
+    if (results_.size() > kMostResults) results_.pop_front();
+  }
+  return true;
+}
+
+// ---- Nodes that are out
+
+void Outings::enter(AgreedTrip& trip, TripPlace place, const Around& around) {
+  if (trip.place == TripPlace::kOrdered && place == TripPlace::kReturning) trip.recalled = around.number;
+  orders_changed_ = orders_changed_ || trip.place == TripPlace::kOrdered || place == TripPlace::kOrdered;
+  trip.place = place;
+  trip.since = around.time;
+}
+
+void Outings::mark_failed(const std::string& node, const std::string& failed) {
+  for (Taken& one : *release_.mutable_taken()) {
+    if (one.node() == node) one.set_failed(failed);
+  }
+}
+
+void Outings::end(const std::string& node, const std::string& failed) {
+  const AgreedTrip& trip = trips_.at(node);
+  orders_changed_ = orders_changed_ || trip.place == TripPlace::kOrdered;
+  if (!failed.empty() && trip.why != WHY_DRAIN) mark_failed(node, failed);
+  trips_.erase(node);
+}
+
+std::uint64_t Outings::capacity_of(const std::string& node) const {
+  auto found = capacities_.find(node);
+  return found == capacities_.end() ? 0 : found->second;
+}
+
+bool Outings::is_out(const std::string& node, const Nodes& nodes) const {
+  auto known = nodes.find(node);
+  return trips_.contains(node) || known == nodes.end() || !serves(known->second);
+}
+
+std::uint64_t Outings::out_of(const Budget& budget, const Nodes& nodes) const {
+  std::uint64_t out = 0;
+  for (const std::string& node : budget.nodes()) {
+    if (is_out(node, nodes)) out += budget.by_count() ? kOne : capacity_of(node);
+  }
+  return out;
+}
+
+// One that is out for its health, and would not come back by itself, takes nothing more; one that is on its way
+// back counts like any other. Where nothing may be out, nothing goes by choice.
+const Budget* Outings::bound_by(const std::string& node, const Nodes& nodes) const {
+  bool already = is_out(node, nodes);
+  auto known = nodes.find(node);
+  bool stuck = known != nodes.end() && (known->second.state() == routing::name_of(routing::State::kSick) ||
+                                        known->second.state() == routing::name_of(routing::State::kMute));
+  for (const Budget& budget : budgets_.budgets()) {
+    if (std::find(budget.nodes().begin(), budget.nodes().end(), node) == budget.nodes().end()) continue;
+    std::uint64_t more = already ? 0 : budget.by_count() ? kOne : capacity_of(node);
+    if (budget.most() == 0 || (!stuck && out_of(budget, nodes) + more > budget.most())) return &budget;
+  }
+  return nullptr;
+}
+
+bool Outings::grant(const TripStep& step, const Around& around) {
+  auto known = around.nodes.find(step.node());
+  if (trips_.contains(step.node()) || known == around.nodes.end() || step.for_ns() <= 0) return false;
+  if (capacity_of(step.node()) == 0 || bound_by(step.node(), around.nodes)) return false;
+  const Taken* before = taken(step.node());
+  switch (step.why()) {
+    case WHY_DRAIN:
+      if (!drains_.contains(step.node())) return false;
+      break;
+    case WHY_RELEASE:
+      if (release_.phase() != PHASE_ROLLING || step.version() != release_.plan().version()) return false;
+      if (before) {
+        if (!before->failed().empty()) return false;
+      } else {
+        Taken& now = *release_.add_taken();
+        now.set_node(step.node());
+        now.set_from_version(known->second.version());
+        now.set_wave(release_.wave());
+      }
+      break;
+    case WHY_BACK:
+      if (release_.phase() != PHASE_BACK || !before || step.version() != before->from_version()) return false;
+      break;
+    default:
+      return false;
+  }
+  trips_[step.node()] = {.place = TripPlace::kEmptying,
+                         .why = step.why(),
+                         .version = step.version(),
+                         .life = known->second.life(),
+                         .shown_in = 0,
+                         .recalled = 0,
+                         .granted = around.time,
+                         .since = around.time,
+                         .until = around.time + step.for_ns()};
+  return true;
+}
+
+bool Outings::step(const TripStep& step, const Around& around) {
+  if (step.input() == TRIP_GRANT) return grant(step, around);
+  auto found = trips_.find(step.node());
+  if (found == trips_.end()) return false;
+  AgreedTrip& trip = found->second;
+  auto known = around.nodes.find(step.node());
+  std::uint64_t life = known == around.nodes.end() ? 0 : known->second.life();
+  bool serving = known != around.nodes.end() && serves(known->second);
+  switch (step.input()) {
+    case TRIP_EXTEND:
+      if (step.for_ns() <= 0) return false;
+      trip.until = around.time + step.for_ns();
+      return true;
+    case TRIP_GIVE_UP:
+      end(step.node(), step.reason());
+      return true;
+    case TRIP_WARM: {
+      bool stayed = trip.place == TripPlace::kReturning && life == trip.life;
+      if (!serving || !(stayed || trip.place == TripPlace::kWarming)) return false;
+      end(step.node(), "");
+      return true;
+    }
+    case TRIP_EMPTIED:
+      if (trip.shown_in == 0 || around.applied < trip.shown_in) return false;
+      break;
+    case TRIP_ORDER:
+      if (trip.why == WHY_DRAIN || life != trip.life) return false;
+      break;
+    case TRIP_CAME_BACK:
+      if (life == trip.life) return false;
+      if (trip.place == TripPlace::kOrdered && known->second.version() != trip.version) return false;
+      break;
+    case TRIP_CALL_BACK:
+      if (!step.reason().empty() && trip.why != WHY_DRAIN) mark_failed(step.node(), step.reason());
+      break;
+    default:
+      return false;
+  }
+  for (const TripRule& rule : kTripRules) {
+    if (rule.place != trip.place || rule.input != step.input()) continue;
+    enter(trip, rule.next, around);
+    return true;
+  }
+  return false;
+}
+
+std::set<std::string> Outings::called_out() const {
+  std::set<std::string> out;
+  for (const auto& [node, trip] : trips_) {
+    if (trip.gets_nothing()) out.insert(node);
+  }
+  return out;
+}
+
+// ---- A release
+
+const Taken* Outings::taken(const std::string& node) const {
+  for (const Taken& one : release_.taken()) {
+    if (one.node() == node) return &one;
+  }
+  return nullptr;
+}
+
+// At once, also those that have their order: a later one says that they may stay.
+void Outings::call_back(Why why, const Around& around) {
+  for (auto& [node, trip] : trips_) {
+    if (trip.why == why && trip.gets_nothing()) enter(trip, TripPlace::kReturning, around);
+  }
+}
+
+bool Outings::step(const ReleaseStep& step, const Around& around) {
+  for (const ReleaseRule& rule : kReleaseRules) {
+    if (rule.phase != release_.phase() || rule.input != step.input()) continue;
+    switch (step.input()) {
+      case RELEASE_START: {
+        if (step.plan().waves_size() == 0) return false;
+        std::uint64_t id = release_.id() + 1;
+        release_.Clear();
+        release_.set_id(id);
+        *release_.mutable_plan() = step.plan();
+        release_.set_started_ns(around.time);
+        break;
+      }
+      case RELEASE_NEXT_WAVE:
+        release_.set_wave(release_.wave() + 1);
+        break;
+      case RELEASE_HALT:
+        call_back(rule.phase == PHASE_BACK ? WHY_BACK : WHY_RELEASE, around);
+        break;
+      case RELEASE_GO_BACK:
+        call_back(WHY_RELEASE, around);
+        [[fallthrough]];
+      case RELEASE_RESUME:
+        for (Taken& one : *release_.mutable_taken()) one.clear_failed();
+        break;
+      default:
+        break;
+    }
+    release_.set_phase(rule.next);
+    release_.set_since_ns(around.time);
+    release_.set_reason(step.reason());
+    return true;
+  }
+  return false;
+}
+
+const CommandResult* Outings::result(std::uint64_t id) const {
+  for (const CommandResult& one : results_) {
+    if (one.id() == id) return &one;
+  }
+  return nullptr;
+}
+
+// ---- As bytes
+
+void Outings::fill(OutingsImage& out) const {
+  *out.mutable_budgets() = budgets_;
+  for (const auto& [node, trip] : trips_) {
+    Trip& to = *out.add_trips();
+    to.set_node(node);
+    to.set_place(static_cast<std::uint32_t>(trip.place));
+    to.set_why(trip.why);
+    to.set_version(trip.version);
+    to.set_life(trip.life);
+    to.set_shown_in(trip.shown_in);
+    to.set_recalled(trip.recalled);
+    to.set_granted_ns(trip.granted);
+    to.set_since_ns(trip.since);
+    to.set_until_ns(trip.until);
+  }
+  for (const std::string& node : drains_) out.add_drains(node);
+  *out.mutable_release() = release_;
+  for (const CommandResult& one : results_) *out.add_results() = one;
+}
+
+bool Outings::restore(const OutingsImage& in) {
+  budgets_ = in.budgets();
+  for (const Capacity& one : budgets_.capacities()) capacities_[one.node()] = one.capacity();
+  for (const Trip& trip : in.trips()) {
+    if (trip.place() >= kTripPlaces) return false;
+    trips_[trip.node()] = {.place = static_cast<TripPlace>(trip.place()),
+                           .why = trip.why(),
+                           .version = trip.version(),
+                           .life = trip.life(),
+                           .shown_in = trip.shown_in(),
+                           .recalled = trip.recalled(),
+                           .granted = trip.granted_ns(),
+                           .since = trip.since_ns(),
+                           .until = trip.until_ns()};
+  }
+  drains_.insert(in.drains().begin(), in.drains().end());
+  release_ = in.release();
+  results_.assign(in.results().begin(), in.results().end());
+  return true;
+}
+
+}  // namespace myrtlecroft::agreement
--- /dev/null
+++ b/src/agreement/outings.h
@@ -0,0 +1,110 @@
+// The part of the agreed state that says who may be out by choice, how far a release has come, and what came of
+// commands. Rules of its own: whoever draws up a step concludes it from what is measured, and what is taken
+// here rests on what is agreed alone. No I/O, no clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agreement.pb.h"
+#include "myrtlecroft/terms.h"
+
+namespace myrtlecroft::agreement {
+
+// Where a node that may be out by choice stands (docs/design/releases.md has the table).
+enum class TripPlace {
+  kEmptying,  // it gets nothing new, and its keys close
+  kEmpty,     // no proxy sends to it, and it holds nothing
+  kOrdered,   // told to end and to come back in another version
+  kWarming,   // back, and let in by degrees
+  kReturning  // called back
+};
+constexpr int kTripPlaces = 5;
+const char* name_of(TripPlace place);
+const char* name_of(Phase phase);
+
+struct AgreedTrip {
+  TripPlace place = TripPlace::kEmptying;
+  Why why = WHY_DRAIN;
+  std::uint32_t version = 0;   // to come back in; of no use in a drain
+  std::uint64_t life = 0;      // that was let out
+  std::uint64_t shown_in = 0;  // the publication that first showed it out; 0: none yet
+  // The decision that called it back once it had its order: until it says that it acts on that one or a later, it
+  // may yet go by the order. 0: it had none.
+  std::uint64_t recalled = 0;
+  // Agreed times. Over `until` the permit has run out, and the node counts by what it is.
+  Nanos granted = 0;
+  Nanos since = 0;
+  Nanos until = 0;
+
+  bool gets_nothing() const {
+    return place == TripPlace::kEmptying || place == TripPlace::kEmpty || place == TripPlace::kOrdered;
+  }
+};
+
+class Outings {
+ public:
+  using Nodes = std::map<std::string, control::NodeMemory>;
+  // What else is agreed, as the decision leaves it.
+  struct Around {
+    const Nodes& nodes;
+    const control::Snapshot& picture;
+    std::uint64_t applied = 0;  // the publication that all proxies have
+    Nanos time = 0;
+    std::uint64_t number = 0;  // of the decision
+  };
+  // False: some step breaks a rule, and what is left in here is of no use.
+  bool apply(const Decision& decision, const Around& around);
+  static bool says_something(const Decision& decision);
+
+  void fill(OutingsImage& out) const;
+  bool restore(const OutingsImage& in);
+
+  const std::map<std::string, AgreedTrip>& trips() const { return trips_; }
+  const AgreedTrip* trip(const std::string& node) const {
+    auto found = trips_.find(node);
+    return found == trips_.end() ? nullptr : &found->second;
+  }
+  const std::set<std::string>& drains() const { return drains_; }
+  const Release& release() const { return release_; }
+  bool under_way() const { return is_under_way(release_.phase()); }
+  static bool is_under_way(Phase phase) {
+    return phase != PHASE_NONE && phase != PHASE_DONE && phase != PHASE_TAKEN_BACK;
+  }
+  const Budgets& budgets() const { return budgets_; }
+  const CommandResult* result(std::uint64_t id) const;
+  const Taken* taken(const std::string& node) const;
+
+  // Nodes that proxies are to send nothing.
+  std::set<std::string> called_out() const;
+  // Capacity in thousandths that is out of a budget, by choice or not.
+  std::uint64_t out_of(const Budget& budget, const Nodes& nodes) const;
+  // The budget that would be broken if this node went out too; nullptr: none.
+  const Budget* bound_by(const std::string& node, const Nodes& nodes) const;
+  // Whether orders to nodes are others than before the last decision.
+  bool orders_changed() const { return orders_changed_; }
+
+ private:
+  bool step(const TripStep& step, const Around& around);
+  bool grant(const TripStep& step, const Around& around);
+  bool step(const ReleaseStep& step, const Around& around);
+  void enter(AgreedTrip& trip, TripPlace place, const Around& around);
+  void call_back(Why why, const Around& around);
+  void end(const std::string& node, const std::string& failed);
+  void mark_failed(const std::string& node, const std::string& failed);
+  std::uint64_t capacity_of(const std::string& node) const;
+  bool is_out(const std::string& node, const Nodes& nodes) const;
+
+  Budgets budgets_;
+  std::map<std::string, std::uint64_t> capacities_;
+  std::map<std::string, AgreedTrip> trips_;
+  std::set<std::string> drains_;
+  Release release_;
+  std::deque<CommandResult> results_;
+  bool orders_changed_ = false;
+};
+
+}  // namespace myrtlecroft::agreement
--- a/src/agreement/state.cpp
+++ b/src/agreement/state.cpp
@@ -28,16 +28,11 @@
 
 constexpr std::uint32_t kMostShards = 1 << 12;
 
-template <class Map, class Key>
-bool has(const Map& map, const Key& key) {
-  return map.find(key) != map.end();
-}
-
 }  // namespace
 
 const char* name_of(Verdict verdict) {
   constexpr const char* names[] = {"taken",   "old basis", "old term", "time",       "shards",
-                                   "picture", "permits",   "proxies",  "unreadable", "newer"};
+                                   "picture", "outings",   "proxies",  "unreadable", "newer"};
   return names[static_cast<std::size_t>(verdict)];
 }
 
@@ -119,16 +114,9 @@
     return one.second != kHere && forget_proxies_ > 0 && time_ - one.second >= forget_proxies_;
   });
 
-  std::erase_if(permits_, [&](const auto& one) { return one.second.until <= time_; });
-  for (const PermitStep& step : decision.permits()) {
-    bool held = has(permits_, step.who());
-    if (held == (step.for_ns() > 0)) return Verdict::kPermits;
-    if (held) {
-      permits_.erase(step.who());
-    } else {
-      permits_[step.who()] = {step.what(), epoch_, time_ + step.for_ns()};
-    }
-  }
+  if (Outings::says_something(decision) && decision.format() < kOutingsFormat) return Verdict::kOutings;
+  if (!outings_.apply(decision, {nodes_, picture_, decision.applied(), time_, epoch_.number})) return Verdict::kOutings;
+  if (outings_.orders_changed()) owners_epoch_ = epoch_;
   for (const InstanceWord& one : decision.instances()) instances_[one.id()] = {one.format(), one.settings()};
   for (std::uint64_t id : decision.instances_gone()) instances_.erase(id);
   return Verdict::kTaken;
@@ -214,14 +202,7 @@
     out.add_proxies()->set_id(id);
     out.mutable_proxies()->rbegin()->set_gone_since_ns(gone);
   }
-  for (const auto& [who, permit] : permits_) {
-    Permit& to = *out.add_permits();
-    to.set_who(who);
-    to.set_what(permit.what);
-    to.set_epoch_term(permit.epoch.term);
-    to.set_epoch_number(permit.epoch.number);
-    to.set_until_ns(permit.until);
-  }
+  if (form_ >= kOutingsFormat) outings_.fill(*out.mutable_outings());
   for (const auto& [id, instance] : instances_) {
     InstanceWord& to = *out.add_instances();
     to.set_id(id);
@@ -253,10 +234,7 @@
   }
   out.picture_ = in.picture();
   for (const ProxyState& proxy : in.proxies()) out.proxies_[proxy.id()] = proxy.gone_since_ns();
-  for (const Permit& permit : in.permits()) {
-    out.permits_[permit.who()] = {
-        permit.what(), {permit.epoch_term(), permit.epoch_number()}, permit.until_ns()};
-  }
+  if (!out.outings_.restore(in.outings())) return false;
   for (const InstanceWord& one : in.instances()) out.instances_[one.id()] = {one.format(), one.settings()};
   out.refused_ = refused_;
   *this = std::move(out);
--- a/src/agreement/state.h
+++ b/src/agreement/state.h
@@ -1,4 +1,5 @@
-// What the fleet has agreed on: who may run which keys, what is served, who may be served it, and since when.
+// What the fleet has agreed on: who may run which keys, what is served, who may be served it, and since when;
+// who may be out.
 // Entries of the common log change it, the same on every instance. No I/O, no clock: time enters only as part
 // of an entry.
 //
@@ -15,11 +16,13 @@
 
 #include "agreement.pb.h"
 #include "agreement/epoch.h"
+#include "agreement/outings.h"
 #include "routing/router.h"
 
 namespace myrtlecroft::agreement {
 
-constexpr std::uint32_t kFormat = 1;        // of entries and images, that this version knows
+constexpr std::uint32_t kFormat = 2;        // of entries and images, that this version knows
+constexpr std::uint32_t kOutingsFormat = 2;  // from which on there are permits, releases and commands
 constexpr Nanos kMostElapsed = 2000 * kMs;  // of one entry: a clock that jumps shortens no window by more
 
 enum class Verdict {
@@ -29,20 +32,13 @@
   kTime,      // time that goes back, or leaps
   kShards,    // a step that the table below does not have, or too early
   kPicture,   // shows a shard open to another than its owner, or is not the next one
-  kPermits,   // one that is held already, or given back by whom it was never given
+  kOutings,   // a node, a release or a command takes a step that it does not have
   kProxies,   // forgets one that may still send
   kUnreadable,
   kNewer  // of a form this version does not know: nothing further can be applied here
 };
 const char* name_of(Verdict verdict);
 
-struct AgreedPermit {
-  std::string what;
-  Epoch epoch;
-  Nanos until = 0;  // agreed time
-  bool operator==(const AgreedPermit&) const = default;
-};
-
 struct AgreedInstance {
   std::uint32_t format = 0;
   std::uint64_t settings = 0;
@@ -64,7 +60,7 @@
   bool restore(std::string_view image);
 
   Epoch epoch() const { return epoch_; }
-  Epoch owners_epoch() const { return owners_epoch_; }  // the last that changed who may run what
+  Epoch owners_epoch() const { return owners_epoch_; }  // the last that changed what nodes are told
   Nanos time() const { return time_; }
   Nanos window() const { return window_; }
   Nanos forget_proxies() const { return forget_proxies_; }
@@ -74,7 +70,7 @@
   std::uint64_t published() const { return picture_.number(); }
   const std::map<std::string, control::NodeMemory>& nodes() const { return nodes_; }
   const std::map<std::string, Nanos>& proxies() const { return proxies_; }  // since when gone, or kHere
-  const std::map<std::string, AgreedPermit>& permits() const { return permits_; }
+  const Outings& outings() const { return outings_; }
   const std::map<std::uint64_t, AgreedInstance>& instances() const { return instances_; }
   std::uint64_t refused() const { return refused_; }  // entries without effect, by this instance's count
   // Two instances at one epoch have the same.
@@ -96,7 +92,7 @@
   std::vector<routing::Shard> shards_;
   control::Snapshot picture_;
   std::map<std::string, Nanos> proxies_;
-  std::map<std::string, AgreedPermit> permits_;
+  Outings outings_;
   std::map<std::uint64_t, AgreedInstance> instances_;
   std::uint64_t refused_ = 0;
 };
--- a/src/control/agreed.cpp
+++ b/src/control/agreed.cpp
@@ -42,6 +42,7 @@
       disk_(loop.base(), [this] { keeper_->take_done(); }),
       keeper_(std::make_unique<consensus::StoreKeeper>(
           options.folder, [&loop] { return loop.now(); }, [this] { disk_.fire(); })),
+      conductor_([&log](const std::string& line) { log.line(line); }),
       again_(loop.base(), [this] { beat(); }) {
   if (keeper_->owner() != 0 && keeper_->owner() != options.id) {
     throw std::runtime_error(
@@ -77,6 +78,7 @@
   instance_ = std::make_unique<agreement::Instance>(
       terms, *keeper_, *links_, std::move(fleet), first_start, [&loop] { return loop.now(); },
       std::random_device()(), [&log](const std::string& line) { log.line(line); });
+  instance_->set_chapter(&conductor_);
   instance_->start();
   again_.set(kBeat);
 }
--- a/src/control/agreed.h
+++ b/src/control/agreed.h
@@ -10,6 +10,7 @@
 #include "consensus/store_keeper.h"
 #include "control/peer_links.h"
 #include "net/loop.h"
+#include "releases/conductor.h"
 #include "service/ports.h"
 
 namespace myrtlecroft::control {
@@ -41,6 +42,7 @@
   agreement::Instance& instance() { return *instance_; }
   const agreement::Instance& instance() const { return *instance_; }
   const PeerLinks& links() const { return *links_; }
+  const releases::Conductor& conductor() const { return conductor_; }
   // Before a stop: leadership goes to another, so that nobody waits for an election.
   void hand_on(std::function<void()> then);
 
@@ -52,6 +54,7 @@
   net::Wake disk_;
   std::unique_ptr<consensus::StoreKeeper> keeper_;
   std::unique_ptr<PeerLinks> links_;
+  releases::Conductor conductor_;
   std::unique_ptr<agreement::Instance> instance_;
   net::Alarm again_;
 };
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -21,7 +21,7 @@
 constexpr Nanos kTrimEvery = 5000 * kMs;     // memory of a crowd that came at once is given back
 constexpr std::size_t kSpareReporters = 32;  // beyond two connections for each node of the file
 constexpr std::size_t kMostAdmins = 16;
-constexpr std::size_t kLongestQuestion = 64;
+constexpr std::size_t kLongestQuestion = 8192;  // a plan is told with its command
 constexpr int kMostRows = 1500;           // of one answer
 constexpr int kLargestRequest = 1 << 20;  // bytes, of a proxy
 constexpr int kMostStreams = 64;          // of one connection
@@ -63,12 +63,6 @@
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
-std::string with_length(const std::string& body) {
-  std::string out;
-  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(body.size() >> shift & 0xff);
-  return out + body;
-}
-
 }  // namespace
 
 Control::Control(net::Loop& loop, service::LogPort& log, Options options)
@@ -90,6 +84,7 @@
                   : std::make_unique<Agreed>(loop, log, options_.agreement,
                                              fleet::read_fleet(options_.fleet_path), options_.first_start,
                                              hash_of(options_.fleet_path), [this] { serve_agreed(); })),
+      operators_(agreed_ ? std::make_unique<Operators>(loop, *agreed_) : nullptr),
       router_(alone_ ? *alone_ : agreed_->instance().router()),
       reports_(loop, log, options_.addresses.reports, "reporter",
                2 * router_.fleet().nodes.size() + kSpareReporters,
@@ -97,8 +92,12 @@
                                std::string_view bytes) { return reports_came(id, connection, bytes); },
                 .ended = [this](Door::Id id) { reporter_gone(id); }}),
       admin_(loop, log, options_.addresses.admin, "admin", kMostAdmins,
-             {.came = [this](Door::Id, net::Connection& connection,
-                             std::string_view bytes) { return asked(connection, bytes); }}),
+             {.came = [this](Door::Id id, net::Connection& connection,
+                             std::string_view bytes) { return asked(id, connection, bytes); },
+              .ended =
+                  [this](Door::Id id) {
+                    if (operators_) operators_->gone(id);
+                  }}),
       again_(loop.base(), [this] { step(); }) {
   discovery_.remember(proxies_before_);
   step();
@@ -245,11 +244,15 @@
 void Control::order(net::Connection& connection, const report::NodeReport& report) {
   agreement::Order order = agreed_->instance().order_for(report.node);
   if (order.epoch.number == 0 || order.life != report.life || report.epoch >= order.epoch) return;
+  // Nobody goes out on the word of an instance that does not know whether it still holds.
+  if (order.restart_as && !agreed_->instance().in_touch()) return;
+  order.answers = report.sequence;
   connection.write(report::encode(order));
 }
 
 void Control::serve_agreed() {
   agreement::Instance& instance = agreed_->instance();
+  if (operators_) operators_->tick();
   auto published = instance.published();
   if (published && (!served_ || served_->number != published->number)) publish(*published);
   xds::SessionTable::Gate gate;
@@ -326,18 +329,22 @@
 
 // ---- From operators
 
-std::size_t Control::asked(net::Connection& connection, std::string_view bytes) {
+std::size_t Control::asked(Door::Id id, net::Connection& connection, std::string_view bytes) {
   std::size_t end = bytes.find('\n');
   if (end == std::string_view::npos) {
     if (bytes.size() > kLongestQuestion) connection.end(net::Reason::kMalformed);
     return 0;
   }
-  connection.write(with_length(answer_to(bytes.substr(0, end)).SerializeAsString()));
-  connection.part(net::Reason::kDone);
+  std::string question(bytes.substr(0, end));
+  if (operators_ && Operators::is_command(question)) {
+    operators_->ask(id, connection, question, any_answer());
+  } else {
+    write_answer(connection, answer_to(question));
+  }
   return bytes.size();
 }
 
-AdminAnswer Control::answer_to(std::string_view question) {
+AdminAnswer Control::any_answer() {
   AdminAnswer out;
   out.set_view(routing::name_of(router_.members().view()));
   out.set_published(served_ ? served_->number : 0);
@@ -346,7 +353,16 @@
   out.set_proxies_gone(static_cast<std::uint32_t>(discovery_.gone()));
   out.set_disk_fails(disk_fails_);
   if (agreed_) fill_instances(out);
+  return out;
+}
+
+AdminAnswer Control::answer_to(std::string_view question) {
+  AdminAnswer out = any_answer();
   if (agreed_ && question == "instances") return out;
+  if (operators_ && (question == "outings" || question == "release status")) {
+    operators_->fill(out);
+    return out;
+  }
   if (question == "nodes") {
     fill_nodes(out);
   } else if (question == "proxies") {
@@ -407,7 +423,7 @@
   words >> word >> id >> address;
   if (word == "let-in" && id > 0 && !address.empty()) return agreed_->instance().let_in(id, address);
   if (word == "let-out" && id > 0) return agreed_->instance().let_out(id);
-  if (word != "hand-on") return "unknown question; there are nodes, proxies, snapshot and instances";
+  if (word != "hand-on") return "unknown question; there are nodes, proxies, snapshot, instances, outings and release status";
   if (!agreed_->instance().member().leads()) return "this instance does not lead";
   agreed_->hand_on([] {});
   return "";
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -14,6 +14,7 @@
 #include "control/agreed.h"
 #include "control/discovery_service.h"
 #include "control/door.h"
+#include "control/operators.h"
 #include "control/saved_state.h"
 #include "control/state_store.h"
 #include "net/log.h"
@@ -56,7 +57,8 @@
   std::size_t reports_came(Door::Id id, net::Connection& connection, std::string_view bytes);
   void take(Door::Id id, net::Connection& connection, const report::NodeReport& report);
   void reporter_gone(Door::Id id);
-  std::size_t asked(net::Connection& connection, std::string_view bytes);
+  std::size_t asked(Door::Id id, net::Connection& connection, std::string_view bytes);
+  AdminAnswer any_answer();
   AdminAnswer answer_to(std::string_view question);
   void fill_nodes(AdminAnswer& answer);
   void fill_proxies(AdminAnswer& answer);
@@ -81,6 +83,7 @@
   // One of these two: alone, or one instance of several.
   std::unique_ptr<routing::Router> alone_;
   std::unique_ptr<Agreed> agreed_;
+  std::unique_ptr<Operators> operators_;  // with it
   routing::Router& router_;
   Door reports_;
   Door admin_;
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -12,7 +12,10 @@
 
 #include "control/ask.h"
 #include "control/control.h"
+#include "control/release_watch.h"
+#include "control/tables.h"
 #include "net/descriptors.h"
+#include "releases/plan.h"
 #include "settings/document.h"
 
 namespace {
@@ -82,76 +85,13 @@
   return 0;
 }
 
-void print_table(const control::AdminAnswer& answer, const std::string& question) {
-  std::printf("view %s, published %llu, applied by all %llu, shards closed %u, proxies gone %u%s\n",
-              answer.view().c_str(), static_cast<unsigned long long>(answer.published()),
-              static_cast<unsigned long long>(answer.applied_by_all()), answer.shards_closed(),
-              answer.proxies_gone(), answer.disk_fails() ? ", DISK FAILS" : "");
-  if (answer.instance() > 0) {
-    std::printf(
-        "instance %llu: %s, leader %llu, term %llu, epoch %llu, agreed time %.1f s, %s; refused %llu, left "
-        "out %llu\n",
-        static_cast<unsigned long long>(answer.instance()), answer.role().c_str(),
-        static_cast<unsigned long long>(answer.leader()), static_cast<unsigned long long>(answer.term()),
-        static_cast<unsigned long long>(answer.epoch()), answer.agreed_time_s(),
-        answer.in_touch() ? "in touch" : "OUT OF TOUCH with a majority",
-        static_cast<unsigned long long>(answer.refused()),
-        static_cast<unsigned long long>(answer.left_out()));
-  }
-  if (question == "instances") {
-    std::printf("%-4s %-22s %-10s %-6s %10s %8s %6s  %s\n", "id", "address", "part", "leads", "applied",
-                "heard s", "format", "settings");
-    for (const control::InstanceRow& row : answer.instances()) {
-      std::printf("%-4llu %-22s %-10s %-6s %10llu %8.1f %6u  %s%s\n",
-                  static_cast<unsigned long long>(row.id()), row.address().c_str(), row.part().c_str(),
-                  row.leads() ? "yes" : "no", static_cast<unsigned long long>(row.applied()),
-                  row.heard_s_ago(), row.format(), row.settings().c_str(), row.here() ? "  (here)" : "");
-    }
-  } else if (question == "nodes") {
-    std::printf("%-16s %-8s %-21s %-9s %8s %8s %-8s %4s %6s %6s %5s %6s %5s %6s\n", "node", "zone", "address",
-                "state", "for s", "heard s", "mode", "cold", "window", "limit", "held", "weight", "ramp",
-                "shards");
-    for (const control::NodeRow& row : answer.nodes()) {
-      std::printf("%-16s %-8s %-21s %-9s %8.1f %8.1f %-8s %4s %6u %6.1f %5u %6.2f %5.2f %6u%s\n",
-                  row.name().c_str(), row.zone().c_str(), row.address().c_str(), row.state().c_str(),
-                  row.in_state_s(), row.heard_s_ago(), row.mode().c_str(), row.cold() ? "yes" : "no",
-                  row.window(), row.limit(), row.held(), row.weight(), row.ramp(), row.shards(),
-                  row.kept_in() ? " kept in" : "");
-    }
-  } else if (question == "proxies") {
-    std::printf("%-24s %-8s %-24s %-5s %8s %8s %6s  %s\n", "proxy", "zone", "peer", "form", "applied", "acks",
-                "nacks", "refuses");
-    for (const control::ProxyRow& row : answer.proxies()) {
-      std::string refused;
-      for (const std::string& one : row.refused()) refused += (refused.empty() ? "" : "; ") + one;
-      std::printf("%-24s %-8s %-24s %-5s %8llu %8llu %6llu  %s\n", row.id().c_str(), row.zone().c_str(),
-                  row.peer().c_str(), row.form().c_str(), static_cast<unsigned long long>(row.applied()),
-                  static_cast<unsigned long long>(row.acks()), static_cast<unsigned long long>(row.nacks()),
-                  refused.c_str());
-    }
-  } else {
-    const control::Snapshot& snapshot = answer.snapshot();
-    std::printf("snapshot %llu of %s\n", static_cast<unsigned long long>(snapshot.number()),
-                snapshot.listener().c_str());
-    for (const control::NodeRoute& node : snapshot.nodes()) {
-      std::printf("  node %-16s %-8s weight %u, in flight for each proxy %u\n", node.name().c_str(),
-                  node.health().c_str(), node.weight(), node.in_flight());
-    }
-    for (const control::GroupRoute& group : snapshot.groups()) {
-      std::printf("  group %-16s admitted %.1f%%, time limit %.3f s, retries %d%s\n", group.name().c_str(),
-                  group.admitted() / 100.0, static_cast<double>(group.timeout_ns()) / 1e9,
-                  group.repeats().retries(), group.repeats().same_node() ? " at the same node" : "");
-    }
-  }
-  if (answer.rows_left_out() > 0) std::printf("%u rows left out\n", answer.rows_left_out());
-}
-
 int show(const std::string& admin, const std::string& question, bool as_json) {
   control::AdminAnswer answer = control::ask(address_of(admin), question);
   if (!answer.error().empty()) throw std::runtime_error(answer.error());
   if (!as_json) {
     if (!answer.done().empty()) std::puts(answer.done().c_str());
-    print_table(answer, answer.done().empty() ? question : "instances");
+    bool outings = control::Operators::is_command(question);
+    if (!outings) control::print_table(answer, answer.done().empty() ? question : "instances");
     return 0;
   }
   std::string out;
@@ -212,7 +152,35 @@
     telling->add_option("--admin", admin, "Its admin address")->capture_default_str();
     telling->add_option("words", words, "Id, and for let-in the address");
   }
-  for (const char* question : {"snapshot", "proxies", "nodes", "instances"}) {
+  for (const char* command : {"drain", "undrain"}) {
+    CLI::App* telling = app.add_subcommand(command, command == std::string("drain")
+                                                        ? "Take a node, a zone or what uses a service out, within the budgets"
+                                                        : "Let it back");
+    telling->add_option("--admin", admin, "Admin address of any instance")->capture_default_str();
+    telling->add_option("name", words, "Node, zone or service")->required()->expected(1);
+  }
+  CLI::App* releasing = app.add_subcommand("release", "Bring the fleet to another version, wave by wave");
+  releasing->require_subcommand(1);
+  std::string plan;
+  bool watch = false;
+  CLI::App* release_start = releasing->add_subcommand("start", "Begin one");
+  release_start->add_option("plan", plan, "The plan's file")->required();
+  CLI::App* release_check = releasing->add_subcommand("check", "Read a plan over");
+  release_check->add_option("plan", plan, "The plan's file")->required();
+  CLI::App* release_status = releasing->add_subcommand("status", "How far it is, and what it waits for");
+  release_status->add_flag("--watch", watch, "Show it until it is over");
+  release_status->add_flag("--json", as_json, "Print JSON");
+  for (const auto& [word, what] : {std::pair("halt", "Let nobody more go out, at once"),
+                                   std::pair("resume", "Go on after a halt"),
+                                   std::pair("back", "Back to the version before, the newest first"),
+                                   std::pair("end", "Leave a halted one as it is")}) {
+    releasing->add_subcommand(word, what)->add_option("reason", words, "For the log");
+  }
+  for (CLI::App* one : releasing->get_subcommands({})) {
+    if (one != release_check)
+      one->add_option("--admin", admin, "Admin address of any instance")->capture_default_str();
+  }
+  for (const char* question : {"snapshot", "proxies", "nodes", "instances", "outings"}) {
     CLI::App* asking = app.add_subcommand(question, "Ask a running one");
     asking->add_option("--admin", admin, "Its admin address")->capture_default_str();
     asking->add_flag("--json", as_json, "Print JSON");
@@ -240,7 +208,23 @@
              .agreement = agreement});
       return 0;
     }
+    if (release_check->parsed()) {
+      agreement::Plan read = releases::read_plan(plan);
+      std::printf("%s: good: '%s' to version %u in %u waves\n", plan.c_str(), read.name().c_str(), read.version(),
+                  releases::waves_of(read));
+      return 0;
+    }
+    if (watch) {
+      control::watch_release([&] { return control::ask(address_of(admin), "release status"); });
+      return 0;
+    }
     std::string question = app.get_subcommands().front()->get_name();
+    if (releasing->parsed()) question += " " + releasing->get_subcommands().front()->get_name();
+    if (release_start->parsed()) {
+      std::string told;
+      if (!google::protobuf::util::MessageToJsonString(releases::read_plan(plan), &told).ok()) return 1;
+      question += " " + told;
+    }
     for (const std::string& word : words) question += " " + word;
     return show(admin, question, as_json);
   } catch (const settings::DocumentError& error) {
--- /dev/null
+++ b/src/control/operators.cpp
@@ -0,0 +1,144 @@
+#include "control/operators.h"
+
+#include <utility>
+#include <vector>
+
+#include "releases/plan.h"
+#include "releases/room.h"
+
+namespace myrtlecroft::control {
+namespace {
+
+constexpr Nanos kLongestCommand = 4000 * kMs;  // shorter than a caller waits
+constexpr std::string_view kRefused = "refused: ";
+
+double seconds(Nanos time) { return static_cast<double>(time) / static_cast<double>(kSecond); }
+
+const char* name_of(agreement::Why why) {
+  return why == agreement::WHY_DRAIN ? "drain" : why == agreement::WHY_RELEASE ? "release" : "way back";
+}
+
+}  // namespace
+
+void write_answer(net::Connection& connection, const AdminAnswer& answer) {
+  std::string body = answer.SerializeAsString();
+  std::string length;
+  for (int shift = 24; shift >= 0; shift -= 8) length += static_cast<char>(body.size() >> shift & 0xff);
+  connection.write(length + body);
+  connection.part(net::Reason::kDone);
+}
+
+bool Operators::is_command(std::string_view question) {
+  for (std::string_view word : {"drain ", "undrain ", "release start ", "release halt", "release resume",
+                                "release back", "release end"}) {
+    if (question.starts_with(word)) return true;
+  }
+  return false;
+}
+
+void Operators::finish(Waiting& one, const std::string& said) {
+  bool refused = said.starts_with(kRefused);
+  refused ? one.answer.set_error(said.substr(kRefused.size())) : one.answer.set_done(said);
+  write_answer(*one.connection, one.answer);
+}
+
+void Operators::ask(Door::Id id, net::Connection& connection, const std::string& command, AdminAnswer answer) {
+  Waiting one{.connection = &connection, .command = 0, .until = loop_.now() + kLongestCommand, .answer = std::move(answer)};
+  agreement::Instance& instance = agreed_.instance();
+  if (!instance.in_touch())
+    return finish(one, std::string(kRefused) + "this instance is out of touch with a majority, and nothing is permitted");
+  for (const auto& [other, known] : instance.agreed().instances()) {
+    if (known.format < agreement::kOutingsFormat)
+      return finish(one, std::string(kRefused) + "instance " + std::to_string(other) + " knows no releases yet");
+  }
+  one.command = instance.command(command);
+  waiting_[id] = std::move(one);
+}
+
+void Operators::gone(Door::Id id) {
+  auto found = waiting_.find(id);
+  if (found == waiting_.end()) return;
+  agreed_.instance().forget_command(found->second.command);
+  waiting_.erase(found);
+}
+
+void Operators::tick() {
+  for (auto one = waiting_.begin(); one != waiting_.end();) {
+    const agreement::CommandResult* result = agreed_.instance().agreed().outings().result(one->second.command);
+    if (!result && loop_.now() < one->second.until) {
+      ++one;
+      continue;
+    }
+    // It may be with a leader that is still to have it agreed, or never will.
+    if (!result) agreed_.instance().forget_command(one->second.command);
+    finish(one->second, result ? result->said()
+                               : std::string(kRefused) +
+                                     "not agreed in time; it may still come to be: see 'release status' and 'outings'");
+    one = waiting_.erase(one);
+  }
+}
+
+void Operators::fill(AdminAnswer& answer) const {
+  const agreement::Instance& instance = agreed_.instance();
+  const agreement::State& state = instance.agreed();
+  const agreement::Outings& outings = state.outings();
+  std::set<std::string> chosen;
+  for (const auto& [node, trip] : outings.trips()) {
+    chosen.insert(node);
+    TripRow& row = *answer.add_trips();
+    row.set_node(node);
+    row.set_why(name_of(trip.why));
+    row.set_place(agreement::name_of(trip.place));
+    row.set_version(trip.version);
+    row.set_in_place_s(seconds(state.time() - trip.since));
+    row.set_permit_s(seconds(trip.until - state.time()));
+  }
+  for (const std::string& node : outings.drains()) answer.add_drains(node);
+  const routing::Router& router = instance.router();
+  for (const releases::Room::Row& one : releases::Room(router.fleet(), router.members().all(), chosen).rows()) {
+    BudgetRow& row = *answer.add_budgets();
+    row.set_name(one.name);
+    row.set_most(one.most);
+    row.set_out(one.out);
+    row.set_chosen(one.chosen);
+    row.set_all(one.all);
+  }
+  const agreement::Release& release = outings.release();
+  if (release.id() == 0) return;
+  ReleaseRow& row = *answer.mutable_release();
+  row.set_id(release.id());
+  row.set_name(release.plan().name());
+  row.set_version(release.plan().version());
+  row.set_phase(agreement::name_of(release.phase()));
+  row.set_wave(release.wave() + 1);
+  row.set_waves(releases::waves_of(release.plan()));
+  row.set_reason(release.reason());
+  row.set_age_s(seconds(state.time() - release.started_ns()));
+  row.set_in_phase_s(seconds(state.time() - release.since_ns()));
+  double all = 0;
+  double with = 0;
+  for (const routing::Member& member : router.members().all()) {
+    bool has = member.version == release.plan().version();
+    all += member.node.capacity;
+    with += has ? member.node.capacity : 0;
+    row.set_nodes(row.nodes() + 1);
+    row.set_nodes_with(row.nodes_with() + has);
+  }
+  row.set_reached(all > 0 ? with / all : 0);
+  for (const agreement::Taken& one : release.taken()) {
+    if (!one.failed().empty()) row.add_failed(one.node() + ": " + one.failed());
+  }
+  row.set_outlook(outings.under_way() ? agreed_.conductor().outlook() : "");
+  row.set_left_s(left_s(row));
+}
+
+// As fast as it went so far; before the first node is there nobody knows.
+double Operators::left_s(const ReleaseRow& row) const {
+  if (!agreed_.instance().agreed().outings().under_way() || row.reached() <= 0) return -1;
+  bool back = row.phase() == agreement::name_of(agreement::PHASE_BACK);
+  double share = back ? row.reached() : 1 - row.reached();
+  double done = back ? 1 - row.reached() : row.reached();
+  return done > 0 ? (back ? row.in_phase_s() : row.age_s()) * share / done : -1;
+}
+
+}  // namespace myrtlecroft::control
--- a/src/control/saved_state.cpp
+++ b/src/control/saved_state.cpp
@@ -73,11 +73,12 @@
   out.set_life(node.life);
   out.set_weight(node.weight);
   out.set_flaps(node.flaps);
+  out.set_version(node.version);
   return out;
 }
 
 routing::Memory::Node from_proto(const NodeMemory& in) {
-  return {in.name(), state_named(in.state()), in.life(), in.weight(), in.flaps()};
+  return {in.name(), state_named(in.state()), in.life(), in.weight(), in.flaps(), in.version()};
 }
 
 Snapshot to_proto(const routing::Snapshot& snapshot) {
--- /dev/null
+++ b/src/control/tables.cpp
@@ -0,0 +1,119 @@
+#include "control/tables.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace myrtlecroft::control {
+namespace {
+
+void print_release(const AdminAnswer& answer) {
+  if (!answer.has_release()) return;
+  const ReleaseRow& row = answer.release();
+  std::printf("release %llu '%s' to version %u: %s for %.1f s, wave %u of %u, %u of %u nodes have it\n",
+              static_cast<unsigned long long>(row.id()), row.name().c_str(), row.version(), row.phase().c_str(),
+              row.in_phase_s(), row.wave(), row.waves(), row.nodes_with(), row.nodes());
+  std::printf("%s\n", progress(row, 40).c_str());
+  if (!row.reason().empty()) std::printf("why: %s\n", row.reason().c_str());
+  if (!row.outlook().empty()) std::printf("now: %s\n", row.outlook().c_str());
+  for (const std::string& failed : row.failed()) std::printf("failed: %s\n", failed.c_str());
+}
+
+void print_outings(const AdminAnswer& answer) {
+  std::printf("%-28s %8s %8s %8s %8s\n", "budget", "may", "out", "chosen", "all");
+  for (const BudgetRow& row : answer.budgets()) {
+    std::printf("%-28s %8.2f %8.2f %8.2f %8.2f\n", row.name().c_str(), row.most(), row.out(), row.chosen(), row.all());
+  }
+  if (answer.trips_size() > 0)
+    std::printf("%-16s %-9s %-10s %7s %8s %9s\n", "node", "why", "place", "version", "for s", "permit s");
+  for (const TripRow& row : answer.trips()) {
+    std::printf("%-16s %-9s %-10s %7u %8.1f %9.1f\n", row.node().c_str(), row.why().c_str(), row.place().c_str(),
+                row.version(), row.in_place_s(), row.permit_s());
+  }
+  std::string drains;
+  for (const std::string& node : answer.drains()) drains += " " + node;
+  if (!drains.empty()) std::printf("held empty by operators:%s\n", drains.c_str());
+}
+
+}  // namespace
+
+std::string progress(const ReleaseRow& row, std::size_t width) {
+  auto full = static_cast<std::size_t>(row.reached() * static_cast<double>(width) + 0.5);
+  full = std::min(full, width);
+  char rest[80];
+  if (row.left_s() >= 0) {
+    std::snprintf(rest, sizeof rest, " %.0f%%, about %.0f s left", 100 * row.reached(), row.left_s());
+  } else {
+    std::snprintf(rest, sizeof rest, " %.0f%%", 100 * row.reached());
+  }
+  return "[" + std::string(full, '#') + std::string(width - full, '.') + "]" + rest;
+}
+
+void print_table(const AdminAnswer& answer, const std::string& question) {
+  std::printf("view %s, published %llu, applied by all %llu, shards closed %u, proxies gone %u%s\n",
+              answer.view().c_str(), static_cast<unsigned long long>(answer.published()),
+              static_cast<unsigned long long>(answer.applied_by_all()), answer.shards_closed(),
+              answer.proxies_gone(), answer.disk_fails() ? ", DISK FAILS" : "");
+  if (answer.instance() > 0) {
+    std::printf(
+        "instance %llu: %s, leader %llu, term %llu, epoch %llu, agreed time %.1f s, %s; refused %llu, left "
+        "out %llu\n",
+        static_cast<unsigned long long>(answer.instance()), answer.role().c_str(),
+        static_cast<unsigned long long>(answer.leader()), static_cast<unsigned long long>(answer.term()),
+        static_cast<unsigned long long>(answer.epoch()), answer.agreed_time_s(),
+        answer.in_touch() ? "in touch" : "OUT OF TOUCH with a majority",
+        static_cast<unsigned long long>(answer.refused()),
+        static_cast<unsigned long long>(answer.left_out()));
+  }
+  if (question == "instances") {
+    std::printf("%-4s %-22s %-10s %-6s %10s %8s %6s  %s\n", "id", "address", "part", "leads", "applied",
+                "heard s", "format", "settings");
+    for (const InstanceRow& row : answer.instances()) {
+      std::printf("%-4llu %-22s %-10s %-6s %10llu %8.1f %6u  %s%s\n",
+                  static_cast<unsigned long long>(row.id()), row.address().c_str(), row.part().c_str(),
+                  row.leads() ? "yes" : "no", static_cast<unsigned long long>(row.applied()),
+                  row.heard_s_ago(), row.format(), row.settings().c_str(), row.here() ? "  (here)" : "");
+    }
+  } else if (question == "outings" || question.starts_with("release") || question.starts_with("drain") ||
+             question.starts_with("undrain")) {
+    print_release(answer);
+    print_outings(answer);
+  } else if (question == "nodes") {
+    std::printf("%-16s %-8s %-21s %-9s %8s %8s %-8s %4s %6s %6s %5s %6s %5s %6s\n", "node", "zone", "address",
+                "state", "for s", "heard s", "mode", "cold", "window", "limit", "held", "weight", "ramp",
+                "shards");
+    for (const NodeRow& row : answer.nodes()) {
+      std::printf("%-16s %-8s %-21s %-9s %8.1f %8.1f %-8s %4s %6u %6.1f %5u %6.2f %5.2f %6u%s\n",
+                  row.name().c_str(), row.zone().c_str(), row.address().c_str(), row.state().c_str(),
+                  row.in_state_s(), row.heard_s_ago(), row.mode().c_str(), row.cold() ? "yes" : "no",
+                  row.window(), row.limit(), row.held(), row.weight(), row.ramp(), row.shards(),
+                  row.kept_in() ? " kept in" : "");
+    }
+  } else if (question == "proxies") {
+    std::printf("%-24s %-8s %-24s %-5s %8s %8s %6s  %s\n", "proxy", "zone", "peer", "form", "applied", "acks",
+                "nacks", "refuses");
+    for (const ProxyRow& row : answer.proxies()) {
+      std::string refused;
+      for (const std::string& one : row.refused()) refused += (refused.empty() ? "" : "; ") + one;
+      std::printf("%-24s %-8s %-24s %-5s %8llu %8llu %6llu  %s\n", row.id().c_str(), row.zone().c_str(),
+                  row.peer().c_str(), row.form().c_str(), static_cast<unsigned long long>(row.applied()),
+                  static_cast<unsigned long long>(row.acks()), static_cast<unsigned long long>(row.nacks()),
+                  refused.c_str());
+    }
+  } else {
+    const Snapshot& snapshot = answer.snapshot();
+    std::printf("snapshot %llu of %s\n", static_cast<unsigned long long>(snapshot.number()),
+                snapshot.listener().c_str());
+    for (const NodeRoute& node : snapshot.nodes()) {
+      std::printf("  node %-16s %-8s weight %u, in flight for each proxy %u\n", node.name().c_str(),
+                  node.health().c_str(), node.weight(), node.in_flight());
+    }
+    for (const GroupRoute& group : snapshot.groups()) {
+      std::printf("  group %-16s admitted %.1f%%, time limit %.3f s, retries %d%s\n", group.name().c_str(),
+                  group.admitted() / 100.0, static_cast<double>(group.timeout_ns()) / 1e9,
+                  group.repeats().retries(), group.repeats().same_node() ? " at the same node" : "");
+    }
+  }
+  if (answer.rows_left_out() > 0) std::printf("%u rows left out\n", answer.rows_left_out());
+}
+
+}  // namespace myrtlecroft::control
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -42,6 +42,16 @@
   return node;
 }
 
+MostOut most_out_in(Part& part, const char* name, MostOut otherwise) {
+  if (!part.has(name)) {
+    part.number_or(name, 1, 0, 1);
+    return otherwise;
+  }
+  if (part.is_whole(name))
+    return {.by_count = true, .most = static_cast<double>(part.whole(name, 0, kMostNodes))};
+  return {.by_count = false, .most = part.number(name, 0, 1)};
+}
+
 Effect effect_in(Part& part) {
   std::string word = part.text("repeats");
   if (word == "repeatable") return Effect::kRepeatable;
@@ -66,6 +76,7 @@
   if (group.effect == Effect::kMutating && !group.key_header.empty()) {
     part.bad("key_header", "has no use in a mutating group");
   }
+  group.most_out = most_out_in(part, "most_out", {});
   part.nothing_else();
   return group;
 }
@@ -78,6 +89,26 @@
   return customer;
 }
 
+Service read_service(Part part) {
+  Service service;
+  service.name = name_in(part);
+  service.used_by = part.texts("used_by");
+  service.most_out = most_out_in(part, "most_out", {.by_count = true, .most = 1});
+  part.nothing_else();
+  return service;
+}
+
+Outings read_outings(Part part) {
+  Outings out;
+  out.most_out = most_out_in(part, "most_out", out.most_out);
+  out.zone_most_out = most_out_in(part, "zone_most_out", out.zone_most_out);
+  out.reserve = part.number_or("reserve", out.reserve, 0, 0.9);
+  out.empty_within = part.millis_or("empty_within_ms", out.empty_within, 100, kLongest);
+  out.permit_lasts = part.millis_or("permit_lasts_ms", out.permit_lasts, 1000, kLongest);
+  part.nothing_else();
+  return out;
+}
+
 Bounds read_bounds(Part part) {
   Bounds out;
   out.silent_after = part.millis_or("silent_ms", out.silent_after, 100, 60'000);
@@ -157,6 +188,20 @@
   double shares = 0;
   for (const Customer& customer : out.customers) shares += customer.share;
   if (shares > 1 + 1e-9) root.bad("customers", "have shares of more than 1 together");
+  out.services = read_list<Service>(root, "services", kMostGroups, read_service);
+  for (Service& service : out.services) {
+    std::vector<std::string> nodes;
+    for (const std::string& used_by : service.used_by) {
+      std::size_t before = nodes.size();
+      for (const Node& node : out.nodes) {
+        if (node.name == used_by || "zone " + node.zone == used_by) nodes.push_back(node.name);
+      }
+      if (nodes.size() == before)
+        root.bad("services", "'" + service.name + "' is used by '" + used_by + "', which is neither a node nor 'zone NAME'");
+    }
+    service.used_by = std::move(nodes);
+  }
+  if (auto outings = root.part_if("outings")) out.outings = read_outings(*outings);
   if (auto bounds = root.part_if("bounds")) out.bounds = read_bounds(*bounds);
   root.nothing_else();
   return out;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,6 +21,34 @@
   std::string address() const { return host + ":" + std::to_string(port); }
 };
 
+// How much may be out at once, by choice or not: so many nodes, or a share of the capacity.
+struct MostOut {
+  bool by_count = false;
+  double most = 1;
+
+  bool operator==(const MostOut&) const = default;
+};
+
+// What nodes depend on: an engine, a database, a rack.
+struct Service {
+  std::string name;
+  std::vector<std::string> used_by;  // nodes
+  MostOut most_out;
+
+  bool operator==(const Service&) const = default;
+};
+
+// What may be out by choice: drains and releases (docs/releases.md).
+struct Outings {
+  MostOut most_out{.by_count = false, .most = 0.1};
+  MostOut zone_most_out;
+  double reserve = 0.1;                // of what stays, that must be to spare at the load of the moment
+  Nanos empty_within = 15'000 * kMs;   // of a drain
+  Nanos permit_lasts = 120'000 * kMs;  // at least; one that is in use is drawn out
+
+  bool operator==(const Outings&) const = default;
+};
+
 struct Group {
   std::string name;
   std::string path;  // what its exchanges ask for
@@ -30,6 +58,7 @@
   Nanos async_timeout = 0;
   Nanos repeat_window = 0;  // of a deduplicated group
   std::string key_header;   // deduplicated: what all tries carry; repeatable: what a read is about, or empty
+  MostOut most_out;         // every node serves every group: the least of them binds the fleet
 
   bool operator==(const Group&) const = default;
 };
@@ -71,6 +100,8 @@
   std::vector<Node> nodes;
   std::vector<Group> groups;
   std::vector<Customer> customers;
+  std::vector<Service> services;
+  Outings outings;
   Bounds bounds;
 
   bool operator==(const Fleet&) const = default;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,13 @@
 // One real server: wires the parts up and runs the loop until it has drained.
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <exception>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "agreement/fence.h"
@@ -28,6 +31,7 @@
 constexpr std::size_t kLeastEngine = std::size_t{1} << 18;
 constexpr std::size_t kMostEngine = std::size_t{1} << 23;
 constexpr int kWrong = 2;  // exit code: an unknown option, or a file that --check finds wrong
+constexpr int kStartMeAs = 100;  // exit code: this and the version that it is to be started in
 constexpr std::size_t kOwnDescriptors = 4;  // one of so many is kept for what is not a balancer's connection
 
 // Which keys are this node's, by the order with the highest epoch that it has seen; kept over a restart where
@@ -37,8 +41,22 @@
   myrtlecroft::agreement::Fence fence;
 };
 
-void serve(const char* path, myrtlecroft::Launch launch, const char* settings_path) {
+// The version that whoever starts us says that we are. Throws std::runtime_error.
+std::uint8_t own_version() {
+  const char* given = std::getenv("MYRTLECROFT_RELEASE");
+  if (!given || !*given) return 0;
+  int version = 0;
+  const char* end = given + std::strlen(given);
+  auto [past, error] = std::from_chars(given, end, version);
+  if (error != std::errc() || past != end || version < 0 || version > myrtlecroft::agreement::kMostVersion)
+    throw std::runtime_error(std::string("MYRTLECROFT_RELEASE is no number from 0 to 99: '") + given + "'");
+  return static_cast<std::uint8_t>(version);
+}
+
+// The exit code.
+int serve(const char* path, myrtlecroft::Launch launch, const char* settings_path) {
   using namespace myrtlecroft;
+  const std::uint8_t version = own_version();
   settings::NodeSettings own_settings = settings::read_node_settings(settings_path);
   net::reserve_descriptors(launch.descriptors);  // before the log's thread
   net::Loop loop;
@@ -58,7 +76,15 @@
   if (records) records->serve(service);
 
   net::Reporter reporter(loop, log, service, launch.name, launch.listen);
+  reporter.runs(version);
+  int code = 0;
+  std::function<void()> leave;
   auto heed = [&](const agreement::Order& order) {
+    // Not taken at all: it is told again in answer to the next report.
+    if (order.restart_as && !reporter.is_fresh(order.answers)) {
+      log.frequent("an order to start anew came late, and is not heeded: epoch " + std::to_string(order.epoch.number));
+      return;
+    }
     agreement::Fence::Verdict verdict = gate.fence.take(order, reporter.life());
     std::string figures = "epoch " + std::to_string(order.epoch.number) + " of term " +
                           std::to_string(order.epoch.term) + ", " + std::to_string(order.shards.size()) +
@@ -68,6 +94,11 @@
     log.frequent("acts on " + figures);
     reporter.acts_on(order.epoch);
     if (records) records->keep_order(report::encode(order));
+    if (!order.restart_as || service.leaving()) return;
+    code = kStartMeAs + *order.restart_as;
+    log.line("leaves to be started as version " + std::to_string(*order.restart_as) + ", epoch " +
+             std::to_string(order.epoch.number));
+    leave();
   };
   if (records && own_settings.reports.obey) {
     report::Malformed malformed{};
@@ -76,18 +107,17 @@
                    malformed);
     if (gate.fence.order()) reporter.acts_on(gate.fence.order()->epoch);
   }
-  reporter.on_order(heed);
-  reporter.report_to(own_settings.reports);
-
   std::string how = "stopped";
   net::Alarm last_moment(loop.base(), [&] {
     how = "stopped at the last moment, " + std::to_string(front.connections()) + " connections left";
     loop.stop();
   });
-  auto leave = [&] {
+  leave = [&] {
     if (!service.leaving()) last_moment.set(stop_after - stop_after / 100);
     service.leave();
   };
+  reporter.on_order(heed);
+  reporter.report_to(own_settings.reports);
   net::Alarm terminated(loop.base(), SIGTERM, leave);
   net::Alarm interrupted(loop.base(), SIGINT, leave);
   // New addresses are taken over under load. What is fixed for the life of a server is left as it is, and a
@@ -116,6 +146,7 @@
   log.line("started as " + launch.name);
   loop.run();
   log.line(how);
+  return code;
 }
 
 // Says of each file whether it is good; 2 where one is not.
@@ -139,12 +170,11 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until it can be heeded
   try {
-    serve(path, myrtlecroft::read_launch(path), settings_path);
+    return serve(path, myrtlecroft::read_launch(path), settings_path);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "myrtlecroft: %s\n", error.what());
     return 1;
   }
-  return 0;
 }
 
 }  // namespace
--- a/src/net/reporter.cpp
+++ b/src/net/reporter.cpp
@@ -12,6 +12,8 @@
 
 constexpr Nanos kFirstWait = 200 * kMs;
 constexpr Nanos kLongestWait = 2'000 * kMs;
+constexpr Nanos kFresh = 1'000 * kMs;
+constexpr std::size_t kMostSent = 64;  // reports that are remembered
 constexpr std::size_t kMostWaiting = 16 * 1024;  // bytes a control service may leave unread
 
 std::string written(const sockaddr_in& address) {
@@ -105,10 +107,17 @@
 
 void Reporter::send() {
   std::string frame = report::encode(report());
+  sent_.push_back(loop_.now());
+  if (sent_.size() > kMostSent) sent_.pop_front();
   for (auto& link : links_) link->send(frame);
   again_.set(every_);
 }
 
+bool Reporter::is_fresh(std::uint64_t sequence) const {
+  std::uint64_t ago = next_.sequence - sequence;
+  return ago < sent_.size() && loop_.now() - sent_[sent_.size() - 1 - static_cast<std::size_t>(ago)] <= kFresh;
+}
+
 report::NodeReport Reporter::report() {
   ++next_.sequence;
   next_.sent_unix = Loop::unix_now();
--- a/src/net/reporter.h
+++ b/src/net/reporter.h
@@ -2,6 +2,7 @@
 // few kilobytes and no time: what it does not take is left out, as the next report says it all again.
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,10 @@
   using Ordered = std::function<void(const agreement::Order&)>;
   void on_order(Ordered ordered) { ordered_ = std::move(ordered); }
   void acts_on(agreement::Epoch epoch) { next_.epoch = epoch; }
+  void runs(std::uint8_t version) { next_.version = version; }
+  // Whether that report was sent not long ago, by our own clock: an answer to it is no older. What lay in a
+  // socket while a link stood still would pass for news otherwise.
+  bool is_fresh(std::uint64_t sequence) const;
   std::uint64_t life() const { return next_.life; }
   std::size_t bytes_waiting() const;  // of all control services, not yet sent
 
@@ -38,6 +43,7 @@
   const service::Service& service_;
   report::NodeReport next_;  // name, address, life and sequence are kept in it
   Nanos every_ = 0;
+  std::deque<Nanos> sent_;  // when the last reports were
   Ordered ordered_;
   std::vector<std::unique_ptr<Link>> links_;
   Alarm again_;
--- /dev/null
+++ b/src/releases/judge.cpp
@@ -0,0 +1,196 @@
+#include "releases/judge.h"
+
+#include <algorithm>
+#include <boost/math/distributions/hypergeometric.hpp>
+#include <cstdio>
+#include <optional>
+
+namespace myrtlecroft::releases {
+namespace {
+
+constexpr unsigned kLeastOthers = 2;  // nodes to compare with
+constexpr Nanos kLeastMeasured = 500 * kMs;
+
+// Figures of nodes, the new ones apart.
+struct Figures {
+  std::vector<double> fresh;
+  std::vector<double> others;
+};
+
+double median(std::vector<double> values) {
+  if (values.empty()) return 0;
+  auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+// New ones among as many of the worst as there are new ones, where the others are allowed so much more. One that
+// ties with an other is not held against the new one.
+unsigned among_worst(const Figures& figures, double allowed) {
+  std::vector<std::pair<double, bool>> all;
+  for (double value : figures.fresh) all.emplace_back(value, true);
+  for (double value : figures.others) all.emplace_back(value + allowed, false);
+  std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second < b.second;
+  });
+  return static_cast<unsigned>(std::count_if(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(figures.fresh.size()),
+                                             [](const auto& one) { return one.second; }));
+}
+
+// The same from the other end. One that ties does not speak for the new ones.
+unsigned among_best(const Figures& figures, double allowed) {
+  Figures turned;
+  for (double value : figures.fresh) turned.fresh.push_back(-value);
+  for (double value : figures.others) turned.others.push_back(-value);
+  return among_worst(turned, -allowed);
+}
+
+unsigned count(const std::vector<double>& values) { return static_cast<unsigned>(values.size()); }
+
+}  // namespace
+
+double chance_of(unsigned seen, unsigned fresh, unsigned others) {
+  if (seen == 0) return 1;
+  unsigned all = fresh + others;
+  if (others == 0 || seen > fresh) return seen > fresh ? 0 : 1;
+  unsigned least = fresh > others ? fresh - others : 0;  // that must be among them
+  if (seen <= least) return 1;
+  boost::math::hypergeometric_distribution<double> spread(fresh, fresh, all);
+  return boost::math::cdf(boost::math::complement(spread, seen - 1));
+}
+
+void Judge::start(Base& base, const routing::Member& member, Nanos now) {
+  base.counts = member.whole();
+  base.since = now;
+  base.report = member.report;
+}
+
+void Judge::begin(const std::vector<routing::Member>& members, Nanos now) {
+  begun_ = now;
+  bases_.clear();
+  for (const routing::Member& member : members) start(bases_[member.node.name], member, now);
+}
+
+void Judge::watch(const std::vector<routing::Member>& members, Nanos now) {
+  for (const routing::Member& member : members) {
+    Base& base = bases_[member.node.name];
+    bool same = base.report.life == member.report.life;
+    bool broken = member.state == routing::State::kSick || member.state == routing::State::kMute ||
+                  member.state == routing::State::kSilent;
+    if (base.counts && same && broken && !member.called_out) base.fell = true;
+    if (member.whole() != base.counts || !same) start(base, member, now);
+  }
+}
+
+Finding Judge::look(const agreement::Plan& plan, const std::vector<routing::Member>& members,
+                    const std::set<std::string>& fresh, const std::set<std::string>& others, unsigned looks,
+                    Nanos now) const {
+  std::map<std::string, Figures> shares;  // what is judged -> a share of each node
+  Figures core;
+  std::map<std::string, unsigned> least;  // group -> the fewest exchanges of a new node
+  unsigned fell_fresh = 0;
+  unsigned fell_others = 0;
+  unsigned fresh_there = 0;
+  for (const routing::Member& member : members) {
+    bool is_fresh = fresh.contains(member.node.name);
+    if (!is_fresh && !others.contains(member.node.name)) continue;
+    auto found = bases_.find(member.node.name);
+    if (found == bases_.end()) continue;
+    const Base& base = found->second;
+    (is_fresh ? fell_fresh : fell_others) += base.fell;
+    if (!base.counts || now - base.since < kLeastMeasured) continue;
+    fresh_there += is_fresh;
+    double completed = 0;
+    for (const report::GroupCounts& counts : member.report.groups) {
+      bool judged = plan.groups_size() == 0 ||
+                    std::find(plan.groups().begin(), plan.groups().end(), counts.group) != plan.groups().end();
+      auto before = std::find_if(base.report.groups.begin(), base.report.groups.end(),
+                                 [&](const auto& one) { return one.group == counts.group; });
+      bool known = before != base.report.groups.end();
+      auto grown = [&](std::uint64_t report::GroupCounts::*what) {
+        return static_cast<double>(counts.*what - (known ? (*before).*what : 0));
+      };
+      double read = grown(&report::GroupCounts::read);
+      double ended = grown(&report::GroupCounts::completed);
+      completed += ended;
+      if (!judged) continue;
+      if (is_fresh) {
+        auto [fewest, first] = least.emplace(counts.group, static_cast<unsigned>(read));
+        if (!first) fewest->second = std::min(fewest->second, static_cast<unsigned>(read));
+      }
+      if (read < plan.least_exchanges()) continue;
+      auto put = [&](const std::string& what, double value) {
+        Figures& figures = shares[counts.group + what];
+        (is_fresh ? figures.fresh : figures.others).push_back(std::clamp(value, 0.0, 1.0));
+      };
+      put(" not served", 1 - ended / read);
+      if (ended >= plan.least_exchanges()) put(" late", 1 - grown(&report::GroupCounts::in_time) / ended);
+    }
+    if (completed >= plan.least_exchanges()) {
+      double each = static_cast<double>(member.report.core_time - base.report.core_time) / completed;
+      (is_fresh ? core.fresh : core.others).push_back(each);
+    }
+  }
+
+  char line[200];
+  auto fresh_all = static_cast<unsigned>(fresh.size());
+  auto others_all = static_cast<unsigned>(others.size());
+  double tests = static_cast<double>(2 + shares.size()) * std::max(1u, looks);
+  double most_false = plan.false_halts() / 1000.0 / tests;
+
+  // Nodes that fell, as a figure of one or none each.
+  if (others_all >= kLeastOthers && fell_fresh > 0) {
+    boost::math::hypergeometric_distribution<double> spread(fell_fresh + fell_others, fresh_all,
+                                                            fresh_all + others_all);
+    double chance = boost::math::cdf(boost::math::complement(spread, fell_fresh - 1));
+    if (chance <= most_false) {
+      std::snprintf(line, sizeof line, "%u of %u nodes with it fell out of service, %u of %u without; chance %.2g",
+                    fell_fresh, fresh_all, fell_others, others_all, chance);
+      return {Verdict::kBad, line};
+    }
+  }
+  Figures slower;  // relative to what is usual
+  double usual = median(core.others);
+  if (usual > 0) {
+    for (double value : core.fresh) slower.fresh.push_back(value / usual);
+    for (double value : core.others) slower.others.push_back(value / usual);
+    shares["core time"] = slower;
+  }
+  Finding good{.verdict = Verdict::kGood, .why = ""};
+  auto not_known = [&](const std::string& why) {
+    if (good.verdict == Verdict::kGood) good = {Verdict::kNotKnown, why};
+  };
+  if (fresh_there < fresh.size())
+    not_known(std::to_string(fresh_there) + " of " + std::to_string(fresh_all) + " nodes with it are measured");
+  for (const auto& [what, figures] : shares) {
+    bool is_core = what == "core time";
+    double worse_by = (is_core ? plan.slower_by() : plan.worse_by()) / 1000.0;
+    double within = is_core ? 3 * worse_by : plan.good_within() / 1000.0;
+    unsigned count_fresh = count(figures.fresh);
+    unsigned count_others = count(figures.others);
+    if (count_fresh == 0 && count_others < kLeastOthers) continue;  // nobody has this group
+    if (count_fresh == 0 || count_others < kLeastOthers) {
+      not_known(what + ": too few nodes with enough exchanges, " + std::to_string(count_fresh) + " with it and " +
+                std::to_string(count_others) + " without");
+      continue;
+    }
+    unsigned worst = among_worst(figures, worse_by);
+    double chance = chance_of(worst, count_fresh, count_others);
+    std::snprintf(line, sizeof line, "%s: %.3f with it, %.3f without; %u of the %u worst of %u nodes have it, chance %.2g",
+                  what.c_str(), median(figures.fresh), median(figures.others), worst, count_fresh,
+                  count_fresh + count_others, chance);
+    if (chance <= most_false) return {Verdict::kBad, line};
+    unsigned best = among_best(figures, within);
+    if (2 * best < count_fresh || chance_of(best, count_fresh, count_others) > plan.false_goods() / 1000.0)
+      not_known(std::string("not shown to be as good, ") + line);
+  }
+  for (const auto& [group, reads] : least) {
+    bool others_have = shares.contains(group + " not served") && !shares[group + " not served"].others.empty();
+    if (reads < plan.least_exchanges() && others_have)
+      not_known("group " + group + ": only " + std::to_string(reads) + " exchanges at some node with it");
+  }
+  if (shares.empty()) not_known("too few exchanges");
+  return good;
+}
+
+}  // namespace myrtlecroft::releases
--- /dev/null
+++ b/src/releases/plan.cpp
@@ -0,0 +1,82 @@
+#include "releases/plan.h"
+
+#include <cmath>
+
+#include "agreement/fence.h"
+#include "settings/document.h"
+
+namespace myrtlecroft::releases {
+namespace {
+
+using settings::Part;
+
+constexpr std::int64_t kLongest = 86'400'000;  // ms
+constexpr std::int64_t kMostFirst = 1000;      // nodes
+constexpr std::size_t kMostWaves = 50;
+
+std::uint32_t thousandths(double value) { return static_cast<std::uint32_t>(std::lround(1000 * value)); }
+
+void read_waves(Part& root, agreement::Plan& out) {
+  for (Part& wave : root.list("waves")) {
+    out.add_waves(thousandths(wave.number("share", 0.001, 1)));
+    wave.nothing_else();
+    int count = out.waves_size();
+    if (count > 1 && out.waves(count - 1) <= out.waves(count - 2))
+      wave.bad("share", "is not above the wave before it");
+  }
+  if (out.waves_size() == 0) {
+    for (std::uint32_t share : {50u, 150u, 400u, 1000u}) out.add_waves(share);
+  }
+  if (static_cast<std::size_t>(out.waves_size()) > kMostWaves) root.bad("waves", "are more than 50");
+  if (out.waves(out.waves_size() - 1) != 1000) root.bad("waves", "do not end with a share of 1");
+}
+
+}  // namespace
+
+agreement::Plan read_plan(const std::string& path) {
+  settings::Document document(path);
+  Part root = document.root();
+  agreement::Plan out;
+  root.whole("version", 1, 1);
+  out.set_name(root.text("name"));
+  if (out.name().size() > 64) root.bad("name", "is longer than 64 letters");
+  out.set_version(static_cast<std::uint32_t>(root.whole("wanted", 0, agreement::kMostVersion)));
+  out.set_first_nodes(static_cast<std::uint32_t>(root.whole_or("first_nodes", 3, 1, kMostFirst)));
+  read_waves(root, out);
+  Nanos soak = root.millis_or("soak_ms", 60'000 * kMs, 100, kLongest);
+  out.set_soak_ns(soak);
+  out.set_longest_soak_ns(root.millis_or("longest_soak_ms", 10 * soak, 100, kLongest));
+  if (out.longest_soak_ns() < soak) root.bad("longest_soak_ms", "is shorter than soak_ms");
+  out.set_empty_within_ns(root.millis_or("empty_within_ms", 15'000 * kMs, 100, kLongest));
+  out.set_back_within_ns(root.millis_or("back_within_ms", 60'000 * kMs, 100, kLongest));
+  out.set_warm_within_ns(root.millis_or("warm_within_ms", 120'000 * kMs, 100, kLongest));
+  out.set_way_back(root.truth_or("way_back", true));
+  out.set_most_failed(static_cast<std::uint32_t>(root.whole_or("most_failed", 0, 0, 10'000)));
+  out.set_reserve(thousandths(root.number_or("reserve", 0.1, 0, 0.9)));
+  if (auto health = root.part_if("health")) {
+    out.set_least_exchanges(static_cast<std::uint32_t>(health->whole_or("least_exchanges", 20, 1, 1'000'000)));
+    out.set_worse_by(thousandths(health->number_or("worse_by", 0.03, 0, 1)));
+    out.set_good_within(thousandths(health->number_or("good_within", 0.1, 0.001, 1)));
+    out.set_slower_by(thousandths(health->number_or("slower_by", 0.15, 0, 10)));
+    out.set_false_halts(thousandths(health->number_or("false_halts", 0.02, 0.001, 0.5)));
+    out.set_false_goods(thousandths(health->number_or("false_goods", 0.05, 0.001, 0.5)));
+    out.set_alarm(thousandths(health->number_or("alarm", 0.2, 0.01, 1)));
+    out.set_alarm_for_ns(health->millis_or("alarm_for_ms", 3000 * kMs, 100, kLongest));
+    for (const std::string& group : health->texts("groups")) out.add_groups(group);
+    if (out.good_within() <= out.worse_by()) health->bad("good_within", "is not above worse_by");
+    health->nothing_else();
+  } else {
+    out.set_least_exchanges(20);
+    out.set_worse_by(30);
+    out.set_good_within(100);
+    out.set_slower_by(150);
+    out.set_false_halts(20);
+    out.set_false_goods(50);
+    out.set_alarm(200);
+    out.set_alarm_for_ns(3000 * kMs);
+  }
+  root.nothing_else();
+  return out;
+}
+
+}  // namespace myrtlecroft::releases
--- /dev/null
+++ b/src/releases/room.cpp
@@ -0,0 +1,147 @@
+#include "releases/room.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+namespace myrtlecroft::releases {
+namespace {
+
+constexpr double kThousandths = 1000;
+constexpr double kNothing = 1e-9;
+
+// Each part of the fleet that has a bound of its own.
+template <class Tell>
+void each_part(const fleet::Fleet& fleet, Tell tell) {
+  std::set<std::string> all;
+  std::map<std::string, std::set<std::string>> zones;
+  for (const fleet::Node& node : fleet.nodes) {
+    all.insert(node.name);
+    zones[node.zone].insert(node.name);
+  }
+  tell("fleet", fleet.outings.most_out, all);
+  for (const auto& [zone, nodes] : zones) tell("zone " + zone, fleet.outings.zone_most_out, nodes);
+  for (const fleet::Group& group : fleet.groups) {
+    if (group.most_out != fleet::MostOut{}) tell("group " + group.name, group.most_out, all);
+  }
+  for (const fleet::Service& service : fleet.services) {
+    tell("service " + service.name, service.most_out,
+         std::set<std::string>(service.used_by.begin(), service.used_by.end()));
+  }
+}
+
+std::uint64_t thousandths(double value) { return static_cast<std::uint64_t>(std::llround(kThousandths * value)); }
+
+}  // namespace
+
+agreement::Budgets budgets_of(const fleet::Fleet& fleet) {
+  agreement::Budgets out;
+  std::map<std::string, std::uint64_t> capacities;
+  for (const fleet::Node& node : fleet.nodes) {
+    agreement::Capacity& one = *out.add_capacities();
+    one.set_node(node.name);
+    one.set_capacity(std::max<std::uint64_t>(1, thousandths(node.capacity)));
+    capacities[node.name] = one.capacity();
+  }
+  each_part(fleet, [&](const std::string& name, const fleet::MostOut& most, const std::set<std::string>& nodes) {
+    agreement::Budget& budget = *out.add_budgets();
+    budget.set_name(name);
+    budget.set_by_count(most.by_count);
+    std::uint64_t all = 0;
+    for (const std::string& node : nodes) {
+      budget.add_nodes(node);
+      all += capacities[node];
+    }
+    budget.set_most(most.by_count
+                        ? thousandths(most.most)
+                        : static_cast<std::uint64_t>(std::llround(most.most * static_cast<double>(all))));
+  });
+  return out;
+}
+
+Room::Room(const fleet::Fleet& fleet, const std::vector<routing::Member>& members,
+           const std::set<std::string>& chosen) {
+  for (const routing::Member& member : members) {
+    capacities_[member.node.name] = member.node.capacity;
+    limits_[member.node.name] = member.report.limit;
+    if (chosen.contains(member.node.name) || !member.whole()) {
+      out_.insert(member.node.name);
+      if (member.state == routing::State::kSick || member.state == routing::State::kMute)
+        stuck_.insert(member.node.name);
+    } else {
+      whole_ += member.report.limit;
+    }
+    if (member.heard_at == 0) continue;
+    // What is denied comes again, elsewhere too: counted once for each share denied, and not as often as it is
+    // read.
+    double read = member.read.read(member.heard_at);
+    double denied = read > 1 ? std::min(1.0, member.denied.read(member.heard_at) / read) : 0;
+    busy_ += member.asked_of(member.heard_at) * (1 + denied);
+  }
+  each_part(fleet, [&](const std::string& name, const fleet::MostOut& most, std::set<std::string> nodes) {
+    add(name, most, std::move(nodes));
+  });
+  for (Part& part : parts_) {
+    for (const std::string& node : part.nodes) {
+      if (chosen.contains(node)) part.row.chosen += counts(part, node);
+    }
+  }
+}
+
+void Room::add(const std::string& name, const fleet::MostOut& most, std::set<std::string> nodes) {
+  Part part{.row = {.name = name}, .by_count = most.by_count, .nodes = std::move(nodes)};
+  for (const std::string& node : part.nodes) {
+    part.row.all += counts(part, node);
+    if (out_.contains(node)) part.row.out += counts(part, node);
+  }
+  // To the same thousandth as what is agreed.
+  part.row.most = most.by_count ? most.most : std::round(most.most * part.row.all * kThousandths) / kThousandths;
+  parts_.push_back(std::move(part));
+}
+
+double Room::counts(const Part& part, const std::string& node) const {
+  auto found = capacities_.find(node);
+  return found == capacities_.end() ? 0 : part.by_count ? 1 : found->second;
+}
+
+std::string Room::refusal(const std::string& node, double reserve) const {
+  bool already = out_.contains(node);
+  char line[160];
+  for (const Part& part : parts_) {
+    if (!part.nodes.contains(node)) continue;
+    double more = already ? 0 : counts(part, node);
+    bool fits = stuck_.contains(node) || part.row.out + more <= part.row.most + kNothing;
+    if (part.row.most > kNothing && fits) continue;
+    std::snprintf(line, sizeof line, "%s: %.2f of %.2f that may be out is out", part.row.name.c_str(), part.row.out,
+                  part.row.most);
+    return line;
+  }
+  // Reserve at the load of the moment: a fleet that is full already must not lose more. Could hold a release up
+  // for as long as the fleet is short, which is when it should wait.
+  auto limit = limits_.find(node);
+  if (already || limit == limits_.end()) return "";
+  double stays = whole_ - limit->second;
+  if (busy_ <= (1 - reserve) * stays) return "";
+  std::snprintf(line, sizeof line, "load: %.1f exchanges run or wait, %.1f could run without it, %.0f%% to spare",
+                busy_, stays, 100 * reserve);
+  return line;
+}
+
+void Room::take(const std::string& node) {
+  if (!out_.insert(node).second) return;
+  whole_ -= limits_[node];
+  for (Part& part : parts_) {
+    if (!part.nodes.contains(node)) continue;
+    part.row.out += counts(part, node);
+    part.row.chosen += counts(part, node);
+  }
+}
+
+std::vector<Room::Row> Room::rows() const {
+  std::vector<Row> out;
+  for (const Part& part : parts_) out.push_back(part.row);
+  return out;
+}
+
+}  // namespace myrtlecroft::releases
--- /dev/null
+++ b/src/releases/room.h
@@ -0,0 +1,63 @@
+// What may be out of the fleet at this moment, as whoever decides measures it: by fleet, zone, endpoint group and
+// service below, and at the load of the moment. No I/O.
+//
+// What is agreed has a check of its own (agreement/outings); this one is by what nodes say.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agreement.pb.h"
+#include "fleet/fleet.h"
+#include "routing/members.h"
+
+namespace myrtlecroft::releases {
+
+// The fleet file's budgets, for all instances to agree on.
+agreement::Budgets budgets_of(const fleet::Fleet& fleet);
+
+class Room {
+ public:
+  // `chosen`: nodes that are out by agreement, wherever they stand.
+  Room(const fleet::Fleet& fleet, const std::vector<routing::Member>& members,
+       const std::set<std::string>& chosen);
+
+  // Why a node may not go out now; empty: it may.
+  std::string refusal(const std::string& node, double reserve) const;
+  // It goes: others are looked at as if it had gone already.
+  void take(const std::string& node);
+
+  struct Row {
+    std::string name;
+    double most = 0;  // of capacity, or nodes
+    double out = 0;
+    double chosen = 0;  // of that
+    double all = 0;
+  };
+  std::vector<Row> rows() const;
+  // Exchanges that run or wait, with a part for what is denied; and how many could run at once at nodes that are
+  // in service and warm, by the nodes' own measure.
+  double asked() const { return busy_; }
+  double limit() const { return whole_; }
+
+ private:
+  struct Part {
+    Row row;
+    bool by_count = false;
+    std::set<std::string> nodes;
+  };
+  void add(const std::string& name, const fleet::MostOut& most, std::set<std::string> nodes);
+  double counts(const Part& part, const std::string& node) const;
+
+  std::map<std::string, double> capacities_;
+  std::map<std::string, double> limits_;
+  std::set<std::string> out_;
+  std::set<std::string> stuck_;  // of these, for their health
+  std::vector<Part> parts_;
+  double busy_ = 0;
+  double whole_ = 0;
+};
+
+}  // namespace myrtlecroft::releases
--- a/src/report/frames.cpp
+++ b/src/report/frames.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint8_t kReport = 1;
 constexpr std::uint8_t kOrder = 2;
 constexpr int kMostDigits = 3;
+constexpr std::uint8_t kStay = 255;  // of an order: no other version is wanted
 constexpr std::size_t kHeader = 4;  // the length
 constexpr std::size_t kLongestText = 64;
 constexpr double kLargestLimit = 1e9;
@@ -111,6 +112,7 @@
     out.epoch.term = in.get<std::uint64_t>();
     out.epoch.number = in.get<std::uint64_t>();
   }
+  if (!in.empty()) out.version = in.get<std::uint8_t>();
   return in.good() && !out.node.empty();
 }
 
@@ -123,6 +125,12 @@
   if (out.shard_digits < 1 || out.shard_digits > kMostDigits || shards > 1u << (4 * out.shard_digits))
     in.fail();
   for (std::uint16_t i = 0; in.good() && i < shards; ++i) out.shards.push_back(in.get<std::uint16_t>());
+  // An older instance ends here.
+  if (!in.empty()) {
+    out.answers = in.get<std::uint64_t>();
+    auto restart = in.get<std::uint8_t>();
+    if (restart <= agreement::kMostVersion) out.restart_as = restart;
+  }
   return in.good();
 }
 
@@ -154,6 +162,8 @@
   body.put(static_cast<std::uint8_t>(order.shard_digits));
   body.put(static_cast<std::uint16_t>(order.shards.size()));
   for (std::uint16_t shard : order.shards) body.put(shard);
+  body.put(order.answers);
+  body.put(order.restart_as.value_or(kStay));
   return framed(std::move(body));
 }
 
@@ -187,6 +197,7 @@
   }
   body.put(report.epoch.term);
   body.put(report.epoch.number);
+  body.put(report.version);
   return framed(std::move(body));
 }
 
--- a/src/report/frames.h
+++ b/src/report/frames.h
@@ -44,6 +44,7 @@
   bool engine_up = false;
   bool obeys = false;        // it takes orders on this connection
   agreement::Epoch epoch;    // of the order that it acts on; none yet: zeros
+  std::uint8_t version = 0;  // that it was started in, by who started it
   std::uint32_t window = 0;  // positions
   double limit = 0;          // running exchanges
   std::uint32_t held = 0;
--- a/src/routing/members.cpp
+++ b/src/routing/members.cpp
@@ -29,6 +29,7 @@
   std::uint64_t read = 0;
   std::uint64_t denied = 0;
   std::uint64_t answered = 0;
+  std::uint64_t in_time = 0;
 };
 
 Totals totals_of(const report::NodeReport& report) {
@@ -37,6 +38,7 @@
     out.read += counts.read;
     out.denied += counts.denied;
     out.answered += counts.denied + counts.completed + counts.terminated;
+    out.in_time += counts.in_time;
   }
   return out;
 }
@@ -163,7 +165,14 @@
   } else if (totals.read >= before.read && totals.denied >= before.denied) {
     member->read.add(static_cast<double>(totals.read - before.read), now_);
     member->denied.add(static_cast<double>(totals.denied - before.denied), now_);
+    if (totals.in_time >= before.in_time)
+      member->in_time.add(static_cast<double>(totals.in_time - before.in_time), now_);
+    if (totals.answered - totals.denied >= before.answered - before.denied)
+      member->ran.add(static_cast<double>(totals.answered - totals.denied - before.answered + before.denied), now_);
   }
+  member->version = report.version;
+  member->asked.add(report.running + report.held, now_);
+  member->reports.add(1, now_);
   if (totals.answered > before.answered || totals.answered >= totals.read) member->moved_at = now_;
   member->report = report;
   member->heard_at = now_;
@@ -185,9 +194,11 @@
   if (counts.succeeded > 0 || member->proxies_content_at == 0) member->proxies_content_at = now_;
 }
 
-void Members::restore(const std::string& node, State state, std::uint64_t life, double weight, int flaps) {
+void Members::restore(const std::string& node, State state, std::uint64_t life, double weight, int flaps,
+                      std::uint32_t version) {
   Member* member = find(node);
   if (!member) return;
+  member->version = version;
   member->life = life;
   member->weight = std::clamp(weight, bounds_.least_weight, 1.0);
   member->flaps = std::clamp(flaps, 0, kMostFlaps);
@@ -323,11 +334,23 @@
     default:
       break;
   }
-  // What was seen before a return tells nothing of what comes after it.
-  if (!was_in && member.in_service()) {
-    member.returned_at = member.moved_at = member.proxies_content_at = now_;
-    member.issued = member.succeeded = member.failed = DecayingSum(Member::kWindow);
-    member.weight = std::max(member.weight, bounds_.least_weight);
+  if (!was_in && member.in_service()) came_back(member);
+}
+
+// What was seen before a return tells nothing of what comes after it.
+void Members::came_back(Member& member) {
+  member.returned_at = member.moved_at = member.proxies_content_at = now_;
+  member.issued = member.succeeded = member.failed = DecayingSum(Member::kWindow);
+  member.weight = std::max(member.weight, bounds_.least_weight);
+}
+
+void Members::call_out(const std::set<std::string>& nodes) {
+  for (Member& member : members_) {
+    bool out = nodes.contains(member.node.name);
+    if (out == member.called_out) continue;
+    bool was_in = member.in_service();
+    member.called_out = out;
+    if (!was_in && member.in_service()) came_back(member);
   }
 }
 
@@ -336,7 +359,7 @@
   double out = 0;
   for (const Member& one : members_) {
     all += one.node.capacity;
-    if (&one != &member && by_choice(one.state) && !one.kept_in) out += one.node.capacity;
+    if (&one != &member && (one.called_out || (by_choice(one.state) && !one.kept_in))) out += one.node.capacity;
   }
   return out + member.node.capacity <= bounds_.most_out * all + 1e-9;
 }
--- a/src/routing/members.h
+++ b/src/routing/members.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,14 +50,20 @@
   State state = State::kPresumed;
   Nanos since = 0;       // in this state
   bool kept_in = false;  // should be out, but too much of the fleet would be
+  bool called_out = false;  // by agreement: it gets nothing new
   bool connected = false;
   Nanos heard_at = 0;      // 0 = not since we started
   std::uint64_t life = 0;  // 0 = not known
   Nanos lost_keys_at = 0;  // when another life was first seen; 0 = never
+  std::uint32_t version = 0;  // that it runs, as it said last
   report::NodeReport report{};
   // From its reports.
   DecayingSum read{kWindow};
   DecayingSum denied{kWindow};
+  DecayingSum ran{kWindow};      // answers of what was not denied
+  DecayingSum in_time{kWindow};  // of these, within the SLO time
+  DecayingSum asked{kWindow};    // running and held, in each report
+  DecayingSum reports{kWindow};  // how many
   Nanos moved_at = 0;  // an answer was last seen, or nothing was unanswered
   // From proxies.
   DecayingSum issued{kWindow};
@@ -73,8 +80,16 @@
   static constexpr Nanos kWindow = 2 * kSecond;
 
   bool in_service() const {  // as far as this control service has a say in it
-    return kept_in || state == State::kPresumed || state == State::kRamping || state == State::kServing;
+    return !called_out &&
+           (kept_in || state == State::kPresumed || state == State::kRamping || state == State::kServing);
   }
+  // Exchanges that run or are held there, over the last reports.
+  double asked_of(Nanos now) const {
+    double count = reports.read(now);
+    return count > 0 ? asked.read(now) / count : 0;
+  }
+  // As it is at its best: what stays of the fleet is counted in such.
+  bool whole() const { return !called_out && state == State::kServing && !report.cold; }
   double share() const { return node.capacity * weight * ramp; }
 };
 
@@ -99,7 +114,10 @@
   void report_link(const std::string& node, bool up, Nanos now);
   void proxies_say(const ProxyCounts& counts, Nanos now);
   // What was known before a restart. Only before the first step.
-  void restore(const std::string& node, State state, std::uint64_t life, double weight, int flaps);
+  void restore(const std::string& node, State state, std::uint64_t life, double weight, int flaps,
+               std::uint32_t version);
+  // Those that are to get nothing; the others of them that had nothing get their part again.
+  void call_out(const std::set<std::string>& nodes);
 
   // Looks at all of them. True where the view or a state changed.
   bool step(Nanos now);
@@ -149,6 +167,7 @@
 
   void step(Member& member);
   void enter(Member& member, State next, const char* why);
+  void came_back(Member& member);
   void keep_floor();
   void follow_weights();
   void change_view(View next, const char* why);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -58,7 +58,7 @@
     return;
   }
   for (const Memory::Node& node : memory->nodes) {
-    members_.restore(node.name, node.state, node.life, node.weight, node.flaps);
+    members_.restore(node.name, node.state, node.life, node.weight, node.flaps, node.version);
   }
   // With another number of shards nobody knows who ran what: they close for a window.
   if (memory->shards.size() == fleet_.shards()) {
@@ -119,7 +119,7 @@
       node.health = Health::kHealthy;
       node.weight = told_weight(member, was);
       node.in_flight = told_in_flight(member, was);
-    } else if (member.state == State::kLeaving) {
+    } else if (member.called_out || member.state == State::kLeaving) {
       node.health = Health::kDraining;
     }
     out.nodes.push_back(std::move(node));
@@ -165,7 +165,7 @@
   for (const Memory::Node& node : nodes) {
     const Member* known = members_.member(node.name);
     if (known && known->heard_at == 0)
-      members_.restore(node.name, node.state, node.life, node.weight, node.flaps);
+      members_.restore(node.name, node.state, node.life, node.weight, node.flaps, node.version);
   }
   // With another number of shards nobody knows who ran what.
   bool same = shards.size() == fleet_.shards();
@@ -212,7 +212,7 @@
 Memory Router::memory() const {
   Memory out;
   for (const Member& member : members_.all()) {
-    out.nodes.push_back({member.node.name, member.state, member.life, member.weight, member.flaps});
+    out.nodes.push_back({member.node.name, member.state, member.life, member.weight, member.flaps, member.version});
   }
   for (std::size_t at = 0; at < shards_.all().size(); ++at) {
     const Shard& shard = shards_.all()[at];
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "fleet/fleet.h"
 #include "routing/admission.h"
@@ -22,6 +24,7 @@
     std::uint64_t life = 0;
     double weight = 1;
     int flaps = 0;
+    std::uint32_t version = 0;  // of the program or its settings, by the node's own word
 
     bool operator==(const Node&) const = default;
   };
@@ -50,6 +53,8 @@
   }
   void report_link(const std::string& node, bool up, Nanos now) { members_.report_link(node, up, now); }
   void proxies_say(const ProxyCounts& counts, Nanos now) { members_.proxies_say(counts, now); }
+  // Nodes that are out by agreement.
+  void call_out(const std::set<std::string>& nodes) { members_.call_out(nodes); }
   // Every proxy that may still send has applied this publication or a later one.
   void applied(std::uint64_t number) { applied_ = number; }
 
--- a/src/settings/document.cpp
+++ b/src/settings/document.cpp
@@ -39,6 +39,12 @@
   throw DocumentError(file_ + ":" + std::to_string(line) + ": " + path_of(name) + ": " + what);
 }
 
+bool Part::is_whole(const std::string& name) const {
+  if (!has(name)) return false;
+  auto type = (*fields_)[name.c_str()].getType();
+  return type == libconfig::Setting::TypeInt || type == libconfig::Setting::TypeInt64;
+}
+
 std::string Part::text(const std::string& name) {
   const libconfig::Setting& value = field(name);
   if (value.getType() != libconfig::Setting::TypeString) bad(name, "is not text in quotes");
--- a/src/settings/document.h
+++ b/src/settings/document.h
@@ -26,6 +26,7 @@
       : fields_(&fields), path_(std::move(path)), file_(std::move(file)) {}
 
   bool has(const std::string& name) const { return fields_->exists(name.c_str()); }
+  bool is_whole(const std::string& name) const;  // written without a point
   std::string text(const std::string& name);
   std::string text_or(const std::string& name, const std::string& otherwise);
   std::int64_t whole(const std::string& name, std::int64_t least, std::int64_t most);
--- a/src/xds/session_table.cpp
+++ b/src/xds/session_table.cpp
@@ -24,15 +24,23 @@
 
 void SessionTable::gate(Gate gate, Nanos now) {
   gate_ = std::move(gate);
-  for (auto& [id, stream] : streams_) offer_first(stream, now);
+  for (auto& [id, stream] : streams_) {
+    offer_first(stream, now);
+    // In touch again, though nothing new was published: what was closed for the moment is not left so.
+    if (!stream.closed || !set_ || now > gate_->fresh_until) continue;
+    stream.session.offer(set_);
+    stream.closed = false;
+  }
 }
 
 void SessionTable::offer_first(Stream& stream, Nanos now) {
   if (stream.offered || !gate_ || !gate_->served.contains(stream.id)) return;
-  const auto& set = now <= gate_->fresh_until ? set_ : gate_->closed;
+  bool fresh = now <= gate_->fresh_until;
+  const auto& set = fresh ? set_ : gate_->closed;
   if (!set) return;
   stream.session.offer(set);
   stream.offered = true;
+  stream.closed = !fresh;
 }
 
 void SessionTable::close(StreamId id, Nanos now) {
@@ -56,6 +64,7 @@
     if (gate_ && !stream.offered) continue;  // its turn comes with the gate
     stream.session.offer(set_);
     stream.offered = true;
+    stream.closed = false;
   }
 }
 
--- a/src/xds/session_table.h
+++ b/src/xds/session_table.h
@@ -67,6 +67,7 @@
     std::string peer;
     bool counted = false;  // it has applied something since it came
     bool offered = false;
+    bool closed = false;  // it was offered the set without an open shard
   };
   struct Gone {
     std::string id;
--- a/standin/cgi_client.h
+++ b/standin/cgi_client.h
@@ -41,6 +41,7 @@
   Nanos wait = 0;
   std::string key;  // empty: none
   std::string body;
+  int expected_ms = 20;  // core time that the caller reckons with
 };
 
 inline std::string cgi_record(std::uint8_t type, int id, std::string_view content) {
@@ -72,7 +73,7 @@
   add("HTTP_CLIENT_NO", std::to_string(fields.client));
   add("HTTP_PROJECT", fields.customer);
   add("HTTP_MAX_WAIT_MS", std::to_string(fields.wait / kMs));
-  add("HTTP_EXPECTED_MS", "20");
+  add("HTTP_EXPECTED_MS", std::to_string(fields.expected_ms));
   add("HTTP_RESERVE_KB", "20");
   add("HTTP_STANDING", "0.5");
   if (!fields.key.empty()) add("HTTP_REPLAY_KEY", fields.key);
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "control/door.h"
 #include "net/engine_lines.h"
@@ -19,6 +20,15 @@
   Nanos at = 0;
 };
 
+// What a version of the program does to what it runs.
+struct Behaviour {
+  double slow = 1;          // times the usual time
+  Nanos after = 0;          // since its start
+  std::size_t from_runs = 0;  // only with so many at once
+  std::string group;        // only this one; empty: all
+  bool silent = false;      // takes runs and ends none
+};
+
 class Engine {
  public:
   Engine(net::Loop& loop, service::LogPort& log, std::string node, int cores,
@@ -27,6 +37,10 @@
   std::uint16_t port() const { return door_.port(); }
   void slow(double factor) { slow_ = factor; }  // times its usual time for each run from now on
   void silent(bool silent);                     // takes runs and ends none
+  // More runs than cores wait for one, and cost nothing beyond that; else each slows those that come after it.
+  void queue_for_cores() { free_at_.assign(static_cast<std::size_t>(cores_), 0); }
+  void behave(Behaviour behaviour) { behaviour_ = std::move(behaviour); }
+  bool cold() const { return loop_.now() < warm_at_; }
   // Another life of the node: what ran is gone, notices are numbered anew, and it is cold for a while.
   void restart(Nanos cold_for);
 
@@ -36,6 +50,7 @@
     bool calls = false;    // it will
     bool at_call = false;  // it waits
     std::size_t result = 0;  // bytes; 0: the word
+    Nanos work = kMs;        // of a core
   };
   std::size_t came(net::Connection& connection, std::string_view bytes);
   void command(const net::EngineLine& line);
@@ -57,6 +72,8 @@
   Nanos warm_at_ = 0;
   double slow_ = 1;
   bool silent_ = false;
+  Behaviour behaviour_;
+  std::vector<Nanos> free_at_;  // of each core, where runs queue for them
 };
 
 class Database {
--- a/standin/proxy.h
+++ b/standin/proxy.h
@@ -22,6 +22,7 @@
   std::string customer = "acme";
   Nanos accepted_unix = 0;
   Nanos wait = 0;  // of the caller
+  int expected_ms = 20;
 };
 
 struct Ended {
@@ -31,6 +32,7 @@
   int tries = 0;
   std::string last_node;  // address
   bool cut = false;       // some try was read by a node and its connection ended with no answer
+  std::string cut_node;   // that node's address
 };
 
 class Proxy {
--- a/tests/instances_test.cpp
+++ b/tests/instances_test.cpp
@@ -130,10 +130,16 @@
     request.type = xds::Type::kListeners;
     request.names = {"fleet"};
     table.request(stream, id, "a", request, now);
+    last_stream = stream;
     auto response = table.next(stream);
+    if (response) {
+      request.nonce = response->nonce;
+      table.request(stream, id, "a", request, now);
+    }
     return response && !response->resources.empty() ? response->resources[0]->version : "nothing";
   }
   xds::SessionTable table{[](const std::string&) {}};
+  xds::StreamId last_stream = 0;
 };
 
 TEST_F(GateStory, AProxyThatTheFleetDoesNotKnowWaits) {
@@ -149,6 +155,18 @@
   EXPECT_EQ(asks("p", 101), "9");
 }
 
+// What a fleet waited for after a start, once in five: its first set, closed because the instance was just then
+// out of touch, stayed so until something else changed.
+TEST_F(GateStory, InTouchAgainAStreamThatGotNoOpenShardGetsThemWithoutAChange) {
+  table.publish(set(1));
+  table.gate({.served = {"p"}, .fresh_until = 100, .closed = set(9)}, 0);
+  EXPECT_EQ(asks("p", 101), "9");
+  table.gate({.served = {"p"}, .fresh_until = 300, .closed = set(9)}, 200);
+  auto response = table.next(last_stream);
+  ASSERT_TRUE(response && !response->resources.empty());
+  EXPECT_EQ(response->resources[0]->version, "1");
+}
+
 struct InstancesStory : FolderStory {};
 
 TEST_F(InstancesStory, AFolderThatWasCopiedIsRefused) {
