--- /dev/null
+++ b/measure/measure_releases.cpp
@@ -0,0 +1,108 @@
+// Releases among real nodes beside faults: make measure-releases. The same load and faults are played without a
+// release, with good and bad versions one after the other, and with restarts in fixed batches that nobody agreed to.
+// Arguments: NODES SEED SECONDS.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+#include "agreement_rig.h"
+#include "agreement_world.h"
+
+namespace {
+
+using namespace myrtlecroft;
+using namespace myrtlecroft::rehearsal;
+
+constexpr double kCores = 2;
+constexpr double kLoad = 0.7;        // of capacity
+constexpr double kStartAndWarm = 1.6;  // seconds from a start to full service at best: start, cold engine, dwell, ramp
+
+void print(const char* what, const RigTerms& terms, const RigResult& result) {
+  std::printf(
+      "%-12s nodes %d faults %3d: offered %6d completed %.4f doubled %d lost %d drain violations %d crashed %d, out by "
+      "choice at most %d of %d, of one service %d of %d, over %d, unpermitted %d, other violations %d%s%s\n",
+      what, terms.incident.nodes, result.faults, result.offered, result.benefit(), result.doubled, result.lost,
+      result.drain_violations, result.crashed, result.most_out, result.allowed, result.below_most_out,
+      result.below_allowed, result.over, result.unpermitted,
+      result.split_owners + result.stale_acted + result.lost_entries + result.not_back,
+      result.first.empty() ? "" : "; first ",
+      (result.first + (result.folder.empty() ? "" : ", logs in " + result.folder)).c_str());
+  for (const ReleaseSeen& one : result.releases) {
+    std::printf("  to %2d %-10s %-10s after %5.1f s, reached %.2f, back in %4.1f s%s%s\n", one.wanted.to,
+                name_of(one.wanted.bad), one.outcome.c_str(), one.took_s, one.reached, one.back_s,
+                one.stopped ? "; stopped: " : "", one.reason.c_str());
+  }
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  auto number = [&](int at, int otherwise) { return count > at ? std::atoi(words[at]) : otherwise; };
+  RigTerms terms;
+  Incident& incident = terms.incident;
+  incident.instances = 3;
+  incident.nodes = number(1, 100);
+  incident.proxies = 8;
+  incident.keys_per_s = 30;
+  incident.read_ms = 150;
+  incident.reads_per_s = kLoad * kCores * incident.nodes / (incident.read_ms / 1000);
+  incident.length = number(3, 200) * kSecond;
+  incident.faults_per_s = 0.3;
+  incident.zones = 4;
+  incident.services = 5;
+  incident.most_out = 0.1;
+  incident.service_most_out = 0.2;
+  terms.seed = static_cast<unsigned>(number(2, 1));
+
+  RigTerms without = terms;
+  without.incident.length = std::min(25 * kSecond, incident.length);
+  RigResult calm = play(without);
+  print("no release", without, calm);
+
+  RigTerms plain = without;
+  plain.plain_batches = true;
+  RigResult batches = play(plain);
+  print("fixed batches", plain, batches);
+
+  constexpr Bad kInOrder[] = {Bad::kSlow, Bad::kNone, Bad::kLater, Bad::kOneGroup, Bad::kSilent, Bad::kUnderLoad};
+  int to = 2;
+  for (Bad bad : kInOrder) incident.releases.push_back({.at = 2 * kSecond, .to = to++, .bad = bad, .by = to % 3});
+  RigResult agreed = play(terms);
+  print("agreed", terms, agreed);
+
+  int bads = 0;
+  int halted = 0;
+  int goods = 0;
+  int false_halts = 0;
+  double reached = 0;
+  double time_ratio = 0;
+  std::vector<double> back;
+  double batch_s = static_cast<double>(incident.restart) / 1e9 + kStartAndWarm;
+  double shortest = std::ceil(incident.nodes / std::max(1.0, incident.most_out * incident.nodes)) * batch_s +
+                    4 * static_cast<double>(incident.soak) / 1e9;
+  for (const ReleaseSeen& one : agreed.releases) {
+    if (one.wanted.bad == Bad::kNone) {
+      ++goods;
+      false_halts += one.stopped;
+      if (one.outcome == "done") time_ratio = std::max(time_ratio, one.took_s / shortest);
+    } else {
+      ++bads;
+      halted += one.stopped && one.outcome == "taken back";
+      reached = std::max(reached, one.reached);
+      if (one.back_s > 0) back.push_back(one.back_s);
+    }
+  }
+  std::sort(back.begin(), back.end());
+  std::printf(
+      "measured releases nodes=%d releases=%zu faults=%d most_out=%d allowed=%d below_most_out=%d below_allowed=%d "
+      "over=%d unpermitted=%d bad_halted=%d/%d false_halts=%d/%d bad_reached_share=%.2f back_s_p99=%.1f lost=%d "
+      "doubled=%d drain_violations=%d benefit_ratio=%.3f time_ratio=%.2f benefit_plain=%.3f most_out_plain=%d\n",
+      incident.nodes, agreed.releases.size(), agreed.faults, agreed.most_out, agreed.allowed, agreed.below_most_out,
+      agreed.below_allowed, agreed.over, agreed.unpermitted, halted, bads, false_halts, goods, reached,
+      back.empty() ? 0 : back.back(), agreed.lost, agreed.doubled, agreed.drain_violations,
+      calm.benefit() > 0 ? agreed.benefit() / calm.benefit() : 0, time_ratio, batches.benefit(), batches.most_out);
+  return agreed.violations() > 0 || halted < bads;
+}
--- a/standin/control_fleet.h
+++ b/standin/control_fleet.h
@@ -34,6 +34,8 @@
   };
   ControlFleet(ControlFleetTerms terms, std::set<int>& taken);
 
+  // Options of each instance that starts from here on.
+  void set_more(std::vector<std::string> more) { terms_.more = std::move(more); }
   enum class Start { kFirst, kAgain, kJoin };
   void start(int at, Start how = Start::kAgain);
   void start_all();
--- a/tests/instances_test.cpp
+++ b/tests/instances_test.cpp
@@ -340,6 +340,56 @@
   EXPECT_TRUE(agree({0, 1, 2}));
 }
 
+struct FormatStory : ControlStory {
+  FormatStory() : ControlStory({"--hold-format", "1"}) {}
+  std::string drain(int at) {
+    control::AdminAnswer answer = ask(at, "drain n1");
+    return answer.error() + answer.done();
+  }
+};
+
+TEST_F(FormatStory, AnInstanceOfANewerFormWritesItOnlyOnceAllKnowIt) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0; }));
+  fleet->set_more({});
+  for (int at = 0; at < 3; ++at) {
+    EXPECT_NE(drain(at).find("knows no releases yet"), std::string::npos) << drain(at);
+    (*fleet)[at].process.end(SIGTERM);
+    fleet->start(at);
+    ASSERT_TRUE(control::await([&] { return in_touch(at) && leader() >= 0; }));
+  }
+  ASSERT_TRUE(control::await([&] { return drain(0).find("1 nodes") != std::string::npos; })) << drain(0);
+  EXPECT_TRUE(agree({0, 1, 2}));
+  // What was agreed in the newer form, an older version must not go on from.
+  fleet->set_more({"--hold-format", "1"});
+  (*fleet)[2].process.end(SIGTERM);
+  fleet->start(2);
+  ASSERT_TRUE(control::await([&] { return leader() >= 0 && leader() != 2; }));
+  control::await([&] { return false; }, 1500);
+  EXPECT_FALSE(in_touch(2));
+  std::ifstream in(fleet->log(2));
+  std::string said((std::istreambuf_iterator<char>(in)), {});
+  EXPECT_NE(said.find("newer form"), std::string::npos);
+}
+
+// What starts a node again in the version that its exit code names.
+TEST_F(InstancesStory, ASupervisorStartsTheVersionThatIsAskedFor) {
+  std::filesystem::create_directories(folder + "/1");
+  std::filesystem::create_directories(folder + "/7");
+  std::ofstream(folder + "/1/myrtlecroft") << "#!/bin/bash\necho as $MYRTLECROFT_RELEASE; exit 107\n";
+  std::ofstream(folder + "/7/myrtlecroft") << "#!/bin/bash\necho as $MYRTLECROFT_RELEASE; exit 0\n";
+  for (const char* version : {"/1", "/7"})
+    std::filesystem::permissions(folder + version + "/myrtlecroft", std::filesystem::perms::owner_all);
+  standin::Child child({MYRTLECROFT_SUPERVISE, folder, "1"}, folder + "/out");
+  EXPECT_EQ(child.wait(), 0);
+  std::ifstream in(folder + "/out");
+  std::string said((std::istreambuf_iterator<char>(in)), {});
+  EXPECT_EQ(said, "as 1\nas 7\n");
+  std::ifstream kept(folder + "/version");
+  int version = 0;
+  kept >> version;
+  EXPECT_EQ(version, 7);
+}
+
 // Leaders killed, stopped and cut off one way, links reset, cut in mid frame and late, nodes killed and cut
 // off, under load: what make measure-agreement plays for minutes.
 TEST(AgreementProcesses, NothingRunsTwiceAndNothingAgreedIsLost) {
@@ -368,5 +418,27 @@
   EXPECT_GT(result.completed, result.offered / 3);
 }
 
+// A version comes to all nodes while leaders die: nobody goes without leave, never more than may be, and nothing that was read goes unanswered.
+TEST(AgreementProcesses, ReleasesGoOnBesideTheDeathOfLeaders) {
+  rehearsal::RigTerms terms;
+  terms.incident.nodes = 6;
+  terms.incident.keys_per_s = 10;
+  terms.incident.reads_per_s = 60;
+  terms.incident.length = 22 * kSecond;
+  terms.incident.most_out = 0.34;
+  terms.incident.first_nodes = 2;
+  terms.incident.soak = 1500 * kMs;
+  terms.incident.releases = {{.at = kSecond, .to = 2, .bad = rehearsal::Bad::kNone, .by = 0}};
+  for (Nanos at : {2 * kSecond, 7 * kSecond, 12 * kSecond})
+    terms.incident.steps.push_back({.at = at, .length = kSecond, .fault = rehearsal::Fault::kKill, .who = {}});
+  terms.seed = 2;
+  rehearsal::RigResult result = rehearsal::play(terms);
+  EXPECT_EQ(result.violations(), 0) << result.first << ", logs in " << result.folder;
+  ASSERT_EQ(result.releases.size(), 1u);
+  EXPECT_GT(result.releases[0].reached, 0.3) << result.releases[0].reason;
+  EXPECT_LE(result.most_out, 2);
+  EXPECT_GT(result.completed, result.offered * 9 / 10);
+}
+
 }  // namespace
 }  // namespace myrtlecroft
