--- a/src/releases/conductor.cpp
+++ b/src/releases/conductor.cpp
@@ -546,6 +546,7 @@
   followed_phase_ = release.phase();
   followed_wave_ = release.wave();
   gap_ = 0;
+  outlook_.clear();
   finding_ = {};
   found_at_ = view.now;
   for (auto& [name, below] : below_) below.above_since = 0;
