Windows hold against a clock that leaps; the judge answers whatever is asked of it

Cause: a leader whose clock leaps says up to 2 s that have not passed (agreement/instance.cpp, elapsed()), and a shard that cools for 3 s may then move after 1 s; releases move ten times as many shards as before, so that it met. The abort: the hypergeometric distribution of the library throws outside of what can be (releases/judge.cpp, nodes that fell, when fewer fell with the version than must have).

--- a/src/agreement/instance.cpp
+++ b/src/agreement/instance.cpp
@@ -10,6 +10,7 @@
 
 constexpr Nanos kRejoinEvery = 500 * kMs;    // after a failure of the disk
 constexpr Nanos kVouchedAfter = 3000 * kMs;  // where not all others speak, a majority does
+constexpr Nanos kMostBelieved = 600 * kMs;   // of the time between two decisions: windows are longer by as much
 constexpr Nanos kPassEvery = 200 * kMs;      // a command, until its result is agreed
 constexpr std::size_t kMostCommands = 16;    // that wait
 constexpr std::uint64_t kCaughtUp = 3;  // decisions that a new instance may lack when it is given its vote
@@ -32,7 +33,7 @@
       book_(terms.contact_lasts) {
   // An instance may be wrong about being in touch for twice as long as contact lasts, and no shard moves in
   // that time.
-  router_.cool_at_least(3 * terms_.contact_lasts);
+  router_.cool_at_least(3 * terms_.contact_lasts, kMostBelieved);
   join();
 }
 
@@ -221,8 +222,10 @@
 
 // ---- Deciding
 
-// Since the last decision was applied, as far as one entry may say.
-Nanos Instance::elapsed() const { return std::clamp<Nanos>(now() - applied_at_, 0, kMostElapsed); }
+// Since the last decision was applied, as far as is believed. A clock that leaps while a shard cools would shorten its
+// window by the whole of what one entry may say; a leader that is well says something twice a second, and where it
+// says less than has passed, windows are only longer.
+Nanos Instance::elapsed() const { return std::clamp<Nanos>(now() - applied_at_, 0, kMostBelieved); }
 
 // A new leader goes on from what is agreed; so does one whose proposal came to nothing.
 void Instance::take_up() {
--- a/src/releases/judge.cpp
+++ b/src/releases/judge.cpp
@@ -49,13 +49,12 @@
 
 }  // namespace
 
-double chance_of(unsigned seen, unsigned fresh, unsigned others) {
-  if (seen == 0) return 1;
-  unsigned all = fresh + others;
-  if (others == 0 || seen > fresh) return seen > fresh ? 0 : 1;
-  unsigned least = fresh > others ? fresh - others : 0;  // that must be among them
+double chance_of_marked(unsigned seen, unsigned drawn, unsigned marked, unsigned all) {
+  // The library takes nothing outside of what can be.
+  unsigned least = drawn + marked > all ? drawn + marked - all : 0;
   if (seen <= least) return 1;
-  boost::math::hypergeometric_distribution<double> spread(fresh, fresh, all);
+  if (seen > std::min(drawn, marked)) return 0;
+  boost::math::hypergeometric_distribution<double> spread(marked, drawn, all);
   return boost::math::cdf(boost::math::complement(spread, seen - 1));
 }
 
@@ -140,9 +139,8 @@
 
   // Nodes that fell, as a figure of one or none each.
   if (others_all >= kLeastOthers && fell_fresh > 0) {
-    boost::math::hypergeometric_distribution<double> spread(fell_fresh + fell_others, fresh_all,
-                                                            fresh_all + others_all);
-    double chance = boost::math::cdf(boost::math::complement(spread, fell_fresh - 1));
+    double chance =
+        chance_of_marked(fell_fresh, fresh_all, fell_fresh + fell_others, fresh_all + others_all);
     if (chance <= most_false) {
       std::snprintf(line, sizeof line, "%u of %u nodes with it fell out of service, %u of %u without; chance %.2g",
                     fell_fresh, fresh_all, fell_others, others_all, chance);
--- a/src/releases/judge.h
+++ b/src/releases/judge.h
@@ -27,9 +27,12 @@
   std::string why;  // figures, as one line
 };
 
+// The chance that of so many drawn out of all at least `seen` are among the marked ones.
+double chance_of_marked(unsigned seen, unsigned drawn, unsigned marked, unsigned all);
 // The chance of at least `seen` new ones among the first `fresh` of all, if being new makes no difference.
-// `fresh` new nodes, `others` not new.
-double chance_of(unsigned seen, unsigned fresh, unsigned others);
+inline double chance_of(unsigned seen, unsigned fresh, unsigned others) {
+  return chance_of_marked(seen, fresh, fresh, fresh + others);
+}
 
 class Judge {
  public:
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -63,12 +63,16 @@
   // `agreed_now` is the time that windows of closed shards are counted in, where instances agree on one.
   std::shared_ptr<const Published> step(Nanos now, Nanos agreed_now);
   std::shared_ptr<const Published> step(Nanos now) { return step(now, now); }
-  // A closed shard cools for at least so long, however short the groups' windows are.
-  void cool_at_least(Nanos least) { least_window_ = least; }
+  // A closed shard cools for at least so long, however short the groups' windows are, and by so much longer than they
+  // are: what a clock may be wrong by.
+  void cool_at_least(Nanos least, Nanos longer) {
+    least_window_ = least;
+    longer_window_ = longer;
+  }
   // How long a closed shard cools; 0: no group needs owners.
   Nanos window() const {
     Nanos longest = fleet_.longest_window();
-    return longest > 0 ? std::max(longest, least_window_) : 0;
+    return longest > 0 ? std::max(longest + longer_window_, least_window_) : 0;
   }
   // The same without deciding: another instance does. What is heard is kept up with.
   void watch(Nanos now) { members_.step(now); }
@@ -102,6 +106,7 @@
   std::optional<Snapshot> restored_;
   Nanos published_at_ = 0;
   Nanos least_window_ = 0;
+  Nanos longer_window_ = 0;
   Members::Log log_;
   std::string fault_;  // told last
 };
--- a/tests/releases_test.cpp
+++ b/tests/releases_test.cpp
@@ -311,6 +311,18 @@
   EXPECT_NEAR(chance_of(1, 1, 9), 0.1, 1e-12);
   EXPECT_EQ(chance_of(0, 3, 97), 1);
   EXPECT_EQ(chance_of(5, 6, 1), 1) << "so many must be among them";
+  // Whatever can be asked has an answer: in a control service nothing may throw here.
+  for (unsigned all = 1; all <= 8; ++all) {
+    for (unsigned drawn = 0; drawn <= all; ++drawn) {
+      for (unsigned marked = 0; marked <= all; ++marked) {
+        for (unsigned seen = 0; seen <= all + 1; ++seen) {
+          double chance = chance_of_marked(seen, drawn, marked, all);
+          EXPECT_GE(chance, 0);
+          EXPECT_LE(chance, 1 + 1e-9);
+        }
+      }
+    }
+  }
 }
 
 struct JudgeWorld {
