--- a/measure/measure_releases.cpp
+++ b/measure/measure_releases.cpp
@@ -1,6 +1,6 @@
-// Releases among real nodes beside faults: make measure-releases. The same load and faults are played without a
-// release, with good and bad versions one after the other, and with restarts in fixed batches that nobody agreed to.
-// Arguments: NODES SEED SECONDS.
+// Releases among real nodes beside faults: make measure-releases. The same load and faults are played without
+// a release, with good and bad versions one after the other, and with restarts in fixed batches that nobody
+// agreed to. Arguments: NODES SEED SECONDS.
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -16,16 +16,18 @@
 using namespace myrtlecroft::rehearsal;
 
 constexpr double kCores = 2;
-constexpr double kLoad = 0.7;        // of capacity
-constexpr double kStartAndWarm = 1.6;  // seconds from a start to full service at best: start, cold engine, dwell, ramp
+constexpr double kLoad = 0.7;  // of capacity
+constexpr double kStartAndWarm =
+    1.6;  // seconds from a start to full service at best: start, cold engine, dwell, ramp
 
 void print(const char* what, const RigTerms& terms, const RigResult& result) {
   std::printf(
-      "%-12s nodes %d faults %3d: offered %6d completed %.4f doubled %d lost %d drain violations %d crashed %d, out by "
+      "%-12s nodes %d faults %3d: offered %6d completed %.4f doubled %d lost %d drain violations %d crashed "
+      "%d, out by "
       "choice at most %d of %d, of one service %d of %d, over %d, unpermitted %d, other violations %d%s%s\n",
-      what, terms.incident.nodes, result.faults, result.offered, result.benefit(), result.doubled, result.lost,
-      result.drain_violations, result.crashed, result.most_out, result.allowed, result.below_most_out,
-      result.below_allowed, result.over, result.unpermitted,
+      what, terms.incident.nodes, result.faults, result.offered, result.benefit(), result.doubled,
+      result.lost, result.drain_violations, result.crashed, result.most_out, result.allowed,
+      result.below_most_out, result.below_allowed, result.over, result.unpermitted,
       result.split_owners + result.stale_acted + result.lost_entries + result.not_back,
       result.first.empty() ? "" : "; first ",
       (result.first + (result.folder.empty() ? "" : ", logs in " + result.folder)).c_str());
@@ -67,9 +69,11 @@
   RigResult batches = play(plain);
   print("fixed batches", plain, batches);
 
-  constexpr Bad kInOrder[] = {Bad::kSlow, Bad::kNone, Bad::kLater, Bad::kOneGroup, Bad::kSilent, Bad::kUnderLoad};
+  constexpr Bad kInOrder[] = {Bad::kSlow,     Bad::kNone,   Bad::kLater,
+                              Bad::kOneGroup, Bad::kSilent, Bad::kUnderLoad};
   int to = 2;
-  for (Bad bad : kInOrder) incident.releases.push_back({.at = 2 * kSecond, .to = to++, .bad = bad, .by = to % 3});
+  for (Bad bad : kInOrder)
+    incident.releases.push_back({.at = 2 * kSecond, .to = to++, .bad = bad, .by = to % 3});
   RigResult agreed = play(terms);
   print("agreed", terms, agreed);
 
@@ -97,12 +101,16 @@
   }
   std::sort(back.begin(), back.end());
   std::printf(
-      "measured releases nodes=%d releases=%zu faults=%d most_out=%d allowed=%d below_most_out=%d below_allowed=%d "
-      "over=%d unpermitted=%d bad_halted=%d/%d false_halts=%d/%d bad_reached_share=%.2f back_s_p99=%.1f lost=%d "
-      "doubled=%d drain_violations=%d benefit_ratio=%.3f time_ratio=%.2f benefit_plain=%.3f most_out_plain=%d\n",
-      incident.nodes, agreed.releases.size(), agreed.faults, agreed.most_out, agreed.allowed, agreed.below_most_out,
-      agreed.below_allowed, agreed.over, agreed.unpermitted, halted, bads, false_halts, goods, reached,
-      back.empty() ? 0 : back.back(), agreed.lost, agreed.doubled, agreed.drain_violations,
-      calm.benefit() > 0 ? agreed.benefit() / calm.benefit() : 0, time_ratio, batches.benefit(), batches.most_out);
+      "measured releases nodes=%d releases=%zu faults=%d most_out=%d allowed=%d below_most_out=%d "
+      "below_allowed=%d "
+      "over=%d unpermitted=%d bad_halted=%d/%d false_halts=%d/%d bad_reached_share=%.2f back_s_p99=%.1f "
+      "lost=%d "
+      "doubled=%d drain_violations=%d benefit_ratio=%.3f time_ratio=%.2f benefit_plain=%.3f "
+      "most_out_plain=%d\n",
+      incident.nodes, agreed.releases.size(), agreed.faults, agreed.most_out, agreed.allowed,
+      agreed.below_most_out, agreed.below_allowed, agreed.over, agreed.unpermitted, halted, bads, false_halts,
+      goods, reached, back.empty() ? 0 : back.back(), agreed.lost, agreed.doubled, agreed.drain_violations,
+      calm.benefit() > 0 ? agreed.benefit() / calm.benefit() : 0, time_ratio, batches.benefit(),
+      batches.most_out);
   return agreed.violations() > 0 || halted < bads;
 }
--- a/measure/operator.cpp
+++ b/measure/operator.cpp
@@ -76,7 +76,8 @@
     }
     try {
       int port = admins_[static_cast<std::size_t>(turn) % admins_.size()];
-      control::AdminAnswer seen = control::ask(net::loopback(static_cast<std::uint16_t>(port)), "release status");
+      control::AdminAnswer seen =
+          control::ask(net::loopback(static_cast<std::uint16_t>(port)), "release status");
       std::lock_guard lock(mutex_);
       if (seen.epoch() >= status_.epoch()) status_ = seen;
     } catch (const std::exception&) {
--- a/measure/operator.h
+++ b/measure/operator.h
@@ -1,5 +1,5 @@
-// Operators at their terminals: they say things to instances and look at how a release fares, on a thread of their
-// own, as an answer may take its time.
+// Operators at their terminals: they say things to instances and look at how a release fares, on a thread of
+// their own, as an answer may take its time.
 #pragma once
 
 #include <condition_variable>
--- a/src/agreement/outings.cpp
+++ b/src/agreement/outings.cpp
@@ -168,8 +168,8 @@
   return out;
 }
 
-// One that is out for its health, and would not come back by itself, takes nothing more; one that is on its way
-// back counts like any other. Where nothing may be out, nothing goes by choice.
+// One that is out for its health, and would not come back by itself, takes nothing more; one that is on its
+// way back counts like any other. Where nothing may be out, nothing goes by choice.
 const Budget* Outings::bound_by(const std::string& node, const Nodes& nodes) const {
   bool already = is_out(node, nodes);
   auto known = nodes.find(node);
--- a/src/agreement/outings.h
+++ b/src/agreement/outings.h
@@ -1,6 +1,6 @@
-// The part of the agreed state that says who may be out by choice, how far a release has come, and what came of
-// commands. Rules of its own: whoever draws up a step concludes it from what is measured, and what is taken
-// here rests on what is agreed alone. No I/O, no clock.
+// The part of the agreed state that says who may be out by choice, how far a release has come, and what came
+// of commands. Rules of its own: whoever draws up a step concludes it from what is measured, and what is
+// taken here rests on what is agreed alone. No I/O, no clock.
 #pragma once
 
 #include <deque>
@@ -32,8 +32,8 @@
   std::uint32_t version = 0;   // to come back in; of no use in a drain
   std::uint64_t life = 0;      // that was let out
   std::uint64_t shown_in = 0;  // the publication that first showed it out; 0: none yet
-  // The decision that called it back once it had its order: until it says that it acts on that one or a later, it
-  // may yet go by the order. 0: it had none.
+  // The decision that called it back once it had its order: until it says that it acts on that one or a
+  // later, it may yet go by the order. 0: it had none.
   std::uint64_t recalled = 0;
   // Agreed times. Over `until` the permit has run out, and the node counts by what it is.
   Nanos granted = 0;
--- a/src/control/operators.cpp
+++ b/src/control/operators.cpp
@@ -42,14 +42,20 @@
   write_answer(*one.connection, one.answer);
 }
 
-void Operators::ask(Door::Id id, net::Connection& connection, const std::string& command, AdminAnswer answer) {
-  Waiting one{.connection = &connection, .command = 0, .until = loop_.now() + kLongestCommand, .answer = std::move(answer)};
+void Operators::ask(Door::Id id, net::Connection& connection, const std::string& command,
+                    AdminAnswer answer) {
+  Waiting one{.connection = &connection,
+              .command = 0,
+              .until = loop_.now() + kLongestCommand,
+              .answer = std::move(answer)};
   agreement::Instance& instance = agreed_.instance();
   if (!instance.in_touch())
-    return finish(one, std::string(kRefused) + "this instance is out of touch with a majority, and nothing is permitted");
+    return finish(one, std::string(kRefused) +
+                           "this instance is out of touch with a majority, and nothing is permitted");
   for (const auto& [other, known] : instance.agreed().instances()) {
     if (known.format < agreement::kOutingsFormat)
-      return finish(one, std::string(kRefused) + "instance " + std::to_string(other) + " knows no releases yet");
+      return finish(one,
+                    std::string(kRefused) + "instance " + std::to_string(other) + " knows no releases yet");
   }
   one.command = instance.command(command);
   waiting_[id] = std::move(one);
@@ -64,16 +70,18 @@
 
 void Operators::tick() {
   for (auto one = waiting_.begin(); one != waiting_.end();) {
-    const agreement::CommandResult* result = agreed_.instance().agreed().outings().result(one->second.command);
+    const agreement::CommandResult* result =
+        agreed_.instance().agreed().outings().result(one->second.command);
     if (!result && loop_.now() < one->second.until) {
       ++one;
       continue;
     }
     // It may be with a leader that is still to have it agreed, or never will.
     if (!result) agreed_.instance().forget_command(one->second.command);
-    finish(one->second, result ? result->said()
-                               : std::string(kRefused) +
-                                     "not agreed in time; it may still come to be: see 'release status' and 'outings'");
+    finish(one->second,
+           result ? result->said()
+                  : std::string(kRefused) +
+                        "not agreed in time; it may still come to be: see 'release status' and 'outings'");
     one = waiting_.erase(one);
   }
 }
@@ -95,7 +103,8 @@
   }
   for (const std::string& node : outings.drains()) answer.add_drains(node);
   const routing::Router& router = instance.router();
-  for (const releases::Room::Row& one : releases::Room(router.fleet(), router.members().all(), chosen).rows()) {
+  for (const releases::Room::Row& one :
+       releases::Room(router.fleet(), router.members().all(), chosen).rows()) {
     BudgetRow& row = *answer.add_budgets();
     row.set_name(one.name);
     row.set_most(one.most);
--- a/src/control/operators.h
+++ b/src/control/operators.h
@@ -1,5 +1,5 @@
-// What operators ask of the fleet as a whole: drains and releases. A command may be given to any instance; it is
-// answered once its result is agreed.
+// What operators ask of the fleet as a whole: drains and releases. A command may be given to any instance; it
+// is answered once its result is agreed.
 #pragma once
 
 #include <map>
--- a/src/control/release_watch.cpp
+++ b/src/control/release_watch.cpp
@@ -31,7 +31,8 @@
 };
 
 bool is_over(const AdminAnswer& answer) {
-  return !answer.has_release() || answer.release().phase() == "done" || answer.release().phase() == "taken back";
+  return !answer.has_release() || answer.release().phase() == "done" ||
+         answer.release().phase() == "taken back";
 }
 
 std::string amount(double value) {
@@ -44,8 +45,8 @@
   ::erase();
   const ReleaseRow& row = answer.release();
   int at = 0;
-  screen.line(at++, "release " + std::to_string(row.id()) + " '" + row.name() + "': " + row.phase() + ", wave " +
-                        std::to_string(row.wave()) + " of " + std::to_string(row.waves()) + ", " +
+  screen.line(at++, "release " + std::to_string(row.id()) + " '" + row.name() + "': " + row.phase() +
+                        ", wave " + std::to_string(row.wave()) + " of " + std::to_string(row.waves()) + ", " +
                         std::to_string(row.nodes_with()) + " of " + std::to_string(row.nodes()) + " nodes" +
                         (answer.in_touch() ? "" : "  OUT OF TOUCH with a majority"));
   screen.line(at++, progress(row, static_cast<std::size_t>(std::max(10, COLS - 40))));
--- a/src/control/state_store.cpp
+++ b/src/control/state_store.cpp
@@ -13,11 +13,12 @@
 
 // What versions before 0.7 kept was one file.
 const std::string& folder_at(const std::string& path) {
-  struct stat what{};
+  struct stat what {};
   if (::stat(path.c_str(), &what) == 0 && !S_ISDIR(what.st_mode)) {
-    throw std::runtime_error(path +
-                             " is a file of an earlier version, and a folder is wanted: move it away; without "
-                             "it deduplicated groups are closed for one window");
+    throw std::runtime_error(
+        path +
+        " is a file of an earlier version, and a folder is wanted: move it away; without "
+        "it deduplicated groups are closed for one window");
   }
   return path;
 }
--- a/src/control/tables.cpp
+++ b/src/control/tables.cpp
@@ -10,8 +10,8 @@
   if (!answer.has_release()) return;
   const ReleaseRow& row = answer.release();
   std::printf("release %llu '%s' to version %u: %s for %.1f s, wave %u of %u, %u of %u nodes have it\n",
-              static_cast<unsigned long long>(row.id()), row.name().c_str(), row.version(), row.phase().c_str(),
-              row.in_phase_s(), row.wave(), row.waves(), row.nodes_with(), row.nodes());
+              static_cast<unsigned long long>(row.id()), row.name().c_str(), row.version(),
+              row.phase().c_str(), row.in_phase_s(), row.wave(), row.waves(), row.nodes_with(), row.nodes());
   std::printf("%s\n", progress(row, 40).c_str());
   if (!row.reason().empty()) std::printf("why: %s\n", row.reason().c_str());
   if (!row.outlook().empty()) std::printf("now: %s\n", row.outlook().c_str());
@@ -21,13 +21,14 @@
 void print_outings(const AdminAnswer& answer) {
   std::printf("%-28s %8s %8s %8s %8s\n", "budget", "may", "out", "chosen", "all");
   for (const BudgetRow& row : answer.budgets()) {
-    std::printf("%-28s %8.2f %8.2f %8.2f %8.2f\n", row.name().c_str(), row.most(), row.out(), row.chosen(), row.all());
+    std::printf("%-28s %8.2f %8.2f %8.2f %8.2f\n", row.name().c_str(), row.most(), row.out(), row.chosen(),
+                row.all());
   }
   if (answer.trips_size() > 0)
     std::printf("%-16s %-9s %-10s %7s %8s %9s\n", "node", "why", "place", "version", "for s", "permit s");
   for (const TripRow& row : answer.trips()) {
-    std::printf("%-16s %-9s %-10s %7u %8.1f %9.1f\n", row.node().c_str(), row.why().c_str(), row.place().c_str(),
-                row.version(), row.in_place_s(), row.permit_s());
+    std::printf("%-16s %-9s %-10s %7u %8.1f %9.1f\n", row.node().c_str(), row.why().c_str(),
+                row.place().c_str(), row.version(), row.in_place_s(), row.permit_s());
   }
   std::string drains;
   for (const std::string& node : answer.drains()) drains += " " + node;
--- a/src/releases/conductor.cpp
+++ b/src/releases/conductor.cpp
@@ -29,7 +29,7 @@
 constexpr unsigned kLeastOthers = 2;          // nodes that wait, to compare with
 constexpr int kMostShown = 3;                 // nodes named in a reason
 
-constexpr double kLeastRan = 20;              // lately, at what uses a service, to say how it fares
+constexpr double kLeastRan = 20;  // lately, at what uses a service, to say how it fares
 
 const char* kRefused = "refused: ";
 
@@ -84,7 +84,8 @@
     {TripPlace::kWarming, &Conductor::warm_late, agreement::TRIP_GIVE_UP, "not warm in time"},
     {TripPlace::kReturning, &Conductor::other_life, agreement::TRIP_CAME_BACK, ""},
     {TripPlace::kReturning, &Conductor::stayed, agreement::TRIP_WARM, ""},
-    {TripPlace::kReturning, &Conductor::warm_late, agreement::TRIP_GIVE_UP, "called back, and not in service"},
+    {TripPlace::kReturning, &Conductor::warm_late, agreement::TRIP_GIVE_UP,
+     "called back, and not in service"},
 };
 
 bool Conductor::other_life(const Sight& sight, const std::string& node, const AgreedTrip& trip) const {
@@ -119,7 +120,8 @@
   return sight.in_place(trip) >= sight.plan.back_within_ns();
 }
 
-bool Conductor::back_late_but_there(const Sight& sight, const std::string& node, const AgreedTrip& trip) const {
+bool Conductor::back_late_but_there(const Sight& sight, const std::string& node,
+                                    const AgreedTrip& trip) const {
   const Member* member = sight.member(node);
   return back_late(sight, node, trip) && member && member->life == trip.life && !member->report.leaving &&
          sight.view.now - member->heard_at <= sight.view.router.fleet().bounds.silent_after;
@@ -261,7 +263,8 @@
   bool under_way = std::any_of(sight.outings.trips().begin(), sight.outings.trips().end(),
                                [](const auto& one) { return one.second.why == agreement::WHY_RELEASE; });
   Nanos since = std::max(last_grant_, judge_.begun());
-  if (under_way || refusal_.empty() || sight.view.now - since < sight.plan.back_within_ns()) return std::nullopt;
+  if (under_way || refusal_.empty() || sight.view.now - since < sight.plan.back_within_ns())
+    return std::nullopt;
   return "nobody may go out: " + refusal_;
 }
 
@@ -376,7 +379,8 @@
     return;
   }
   Room room(sight.view.router.fleet(), sight.view.router.members().all(), sight.chosen);
-  auto grant = [&](const std::string& node, agreement::Why why, std::uint32_t version, Nanos lasts, double reserve) {
+  auto grant = [&](const std::string& node, agreement::Why why, std::uint32_t version, Nanos lasts,
+                   double reserve) {
     std::string refusal = room.refusal(node, reserve);
     if (!refusal.empty()) {
       if (refusal_.empty()) refusal_ = node + " waits; " + refusal;
@@ -468,7 +472,8 @@
   return said + (refusal.empty() ? "go out" : "are to go out, as soon as the budgets allow it: " + refusal);
 }
 
-std::string Conductor::release(const Sight& sight, const std::string& word, const std::string& rest, Decision& out) {
+std::string Conductor::release(const Sight& sight, const std::string& word, const std::string& rest,
+                               Decision& out) {
   const Release& now = sight.release;
   agreement::ReleaseStep& step = *out.mutable_release();
   auto refused = [&](const std::string& why) {
@@ -485,7 +490,8 @@
     step.set_input(agreement::RELEASE_START);
     std::size_t deaf = 0;
     for (const auto& [node, member] : sight.members) deaf += member->heard_at > 0 && !member->report.obeys;
-    if (deaf > 0) return refused(std::to_string(deaf) + " nodes take no orders: obey = true in their settings");
+    if (deaf > 0)
+      return refused(std::to_string(deaf) + " nodes take no orders: obey = true in their settings");
     return "release " + std::to_string(now.id() + 1) + " '" + step.plan().name() + "' begins";
   }
   struct Row {
@@ -499,7 +505,10 @@
        {agreement::PHASE_ROLLING, agreement::PHASE_SOAKING, agreement::PHASE_BACK},
        agreement::RELEASE_HALT,
        " is halted"},
-      {"resume", {agreement::PHASE_HALTED, agreement::PHASE_BACK_HALTED}, agreement::RELEASE_RESUME, " goes on"},
+      {"resume",
+       {agreement::PHASE_HALTED, agreement::PHASE_BACK_HALTED},
+       agreement::RELEASE_RESUME,
+       " goes on"},
       {"back",
        {agreement::PHASE_ROLLING, agreement::PHASE_SOAKING, agreement::PHASE_HALTED},
        agreement::RELEASE_GO_BACK,
@@ -531,7 +540,8 @@
     epoch_ = epoch;
     epoch_at_ = view.now;
   }
-  bool same = release.id() == followed_id_ && release.phase() == followed_phase_ && release.wave() == followed_wave_;
+  bool same =
+      release.id() == followed_id_ && release.phase() == followed_phase_ && release.wave() == followed_wave_;
   if (same) return judge_.watch(view.router.members().all(), view.now);
   if (release.id() != followed_id_) {
     for (auto& [name, below] : below_) below.at_start = below.now;
@@ -553,8 +563,8 @@
   judge_.begin(view.router.members().all(), view.now);
 }
 
-// Of what uses a service, and does not have the new version: what is not served in time. A service that slows as
-// a wave goes is no fault of the version, and no time to go on either.
+// Of what uses a service, and does not have the new version: what is not served in time. A service that slows
+// as a wave goes is no fault of the version, and no time to go on either.
 void Conductor::measure_alarms(const View& view) {
   const Plan& plan = view.agreed.outings().release().plan();
   Phase phase = view.agreed.outings().release().phase();
@@ -562,7 +572,8 @@
     double ran = 0;
     double in_time = 0;
     for (const Member& member : view.router.members().all()) {
-      bool uses = std::find(service.used_by.begin(), service.used_by.end(), member.node.name) != service.used_by.end();
+      bool uses = std::find(service.used_by.begin(), service.used_by.end(), member.node.name) !=
+                  service.used_by.end();
       bool fresh = Outings::is_under_way(phase) && member.version == plan.version();
       if (!uses || fresh || !member.in_service()) continue;
       ran += member.ran.read(view.now);
--- a/src/releases/conductor.h
+++ b/src/releases/conductor.h
@@ -1,5 +1,5 @@
-// Concludes, where this instance decides, who goes out next, who is back, and whether a release goes on: steps
-// of the next decision, which the rules of what is agreed take or refuse (agreement/outings). No I/O.
+// Concludes, where this instance decides, who goes out next, who is back, and whether a release goes on:
+// steps of the next decision, which the rules of what is agreed take or refuse (agreement/outings). No I/O.
 //
 // What is agreed is gone on from, whoever decided it. What is measured (health of a wave, load, alarms) every
 // instance measures for itself all the time, so that a new leader need not begin anew.
@@ -75,7 +75,8 @@
   void measure_alarms(const View& view);
   void draft_command(const View& view, agreement::Decision& out);
   std::string drain(const Sight& sight, const std::string& name, bool wanted, agreement::Decision& out);
-  std::string release(const Sight& sight, const std::string& word, const std::string& rest, agreement::Decision& out);
+  std::string release(const Sight& sight, const std::string& word, const std::string& rest,
+                      agreement::Decision& out);
   void draft_trips(const Sight& sight, agreement::Decision& out);
   void draft_release(const Sight& sight, agreement::Decision& out);
   void draft_grants(const Sight& sight, agreement::Decision& out);
--- a/src/releases/judge.cpp
+++ b/src/releases/judge.cpp
@@ -24,8 +24,8 @@
   return *middle;
 }
 
-// New ones among as many of the worst as there are new ones, where the others are allowed so much more. One that
-// ties with an other is not held against the new one.
+// New ones among as many of the worst as there are new ones, where the others are allowed so much more. One
+// that ties with an other is not held against the new one.
 unsigned among_worst(const Figures& figures, double allowed) {
   std::vector<std::pair<double, bool>> all;
   for (double value : figures.fresh) all.emplace_back(value, true);
@@ -33,7 +33,8 @@
   std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
     return a.first != b.first ? a.first > b.first : a.second < b.second;
   });
-  return static_cast<unsigned>(std::count_if(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(figures.fresh.size()),
+  return static_cast<unsigned>(std::count_if(all.begin(),
+                                             all.begin() + static_cast<std::ptrdiff_t>(figures.fresh.size()),
                                              [](const auto& one) { return one.second; }));
 }
 
@@ -101,8 +102,8 @@
     fresh_there += is_fresh;
     double completed = 0;
     for (const report::GroupCounts& counts : member.report.groups) {
-      bool judged = plan.groups_size() == 0 ||
-                    std::find(plan.groups().begin(), plan.groups().end(), counts.group) != plan.groups().end();
+      bool judged = plan.groups_size() == 0 || std::find(plan.groups().begin(), plan.groups().end(),
+                                                         counts.group) != plan.groups().end();
       auto before = std::find_if(base.report.groups.begin(), base.report.groups.end(),
                                  [&](const auto& one) { return one.group == counts.group; });
       bool known = before != base.report.groups.end();
@@ -139,11 +140,11 @@
 
   // Nodes that fell, as a figure of one or none each.
   if (others_all >= kLeastOthers && fell_fresh > 0) {
-    double chance =
-        chance_of_marked(fell_fresh, fresh_all, fell_fresh + fell_others, fresh_all + others_all);
+    double chance = chance_of_marked(fell_fresh, fresh_all, fell_fresh + fell_others, fresh_all + others_all);
     if (chance <= most_false) {
-      std::snprintf(line, sizeof line, "%u of %u nodes with it fell out of service, %u of %u without; chance %.2g",
-                    fell_fresh, fresh_all, fell_others, others_all, chance);
+      std::snprintf(line, sizeof line,
+                    "%u of %u nodes with it fell out of service, %u of %u without; chance %.2g", fell_fresh,
+                    fresh_all, fell_others, others_all, chance);
       return {Verdict::kBad, line};
     }
   }
@@ -159,7 +160,8 @@
     if (good.verdict == Verdict::kGood) good = {Verdict::kNotKnown, why};
   };
   if (fresh_there < fresh.size())
-    not_known(std::to_string(fresh_there) + " of " + std::to_string(fresh_all) + " nodes with it are measured");
+    not_known(std::to_string(fresh_there) + " of " + std::to_string(fresh_all) +
+              " nodes with it are measured");
   for (const auto& [what, figures] : shares) {
     bool is_core = what == "core time";
     double worse_by = (is_core ? plan.slower_by() : plan.worse_by()) / 1000.0;
@@ -168,13 +170,14 @@
     unsigned count_others = count(figures.others);
     if (count_fresh == 0 && count_others < kLeastOthers) continue;  // nobody has this group
     if (count_fresh == 0 || count_others < kLeastOthers) {
-      not_known(what + ": too few nodes with enough exchanges, " + std::to_string(count_fresh) + " with it and " +
-                std::to_string(count_others) + " without");
+      not_known(what + ": too few nodes with enough exchanges, " + std::to_string(count_fresh) +
+                " with it and " + std::to_string(count_others) + " without");
       continue;
     }
     unsigned worst = among_worst(figures, worse_by);
     double chance = chance_of(worst, count_fresh, count_others);
-    std::snprintf(line, sizeof line, "%s: %.3f with it, %.3f without; %u of the %u worst of %u nodes have it, chance %.2g",
+    std::snprintf(line, sizeof line,
+                  "%s: %.3f with it, %.3f without; %u of the %u worst of %u nodes have it, chance %.2g",
                   what.c_str(), median(figures.fresh), median(figures.others), worst, count_fresh,
                   count_fresh + count_others, chance);
     if (chance <= most_false) return {Verdict::kBad, line};
@@ -183,7 +186,8 @@
       not_known(std::string("not shown to be as good, ") + line);
   }
   for (const auto& [group, reads] : least) {
-    bool others_have = shares.contains(group + " not served") && !shares[group + " not served"].others.empty();
+    bool others_have =
+        shares.contains(group + " not served") && !shares[group + " not served"].others.empty();
     if (reads < plan.least_exchanges() && others_have)
       not_known("group " + group + ": only " + std::to_string(reads) + " exchanges at some node with it");
   }
--- a/src/releases/judge.h
+++ b/src/releases/judge.h
@@ -1,9 +1,10 @@
 // Whether nodes in a new version do worse than those that still wait, over the same time and load. No I/O.
 //
-// A node is one sample, however many exchanges it had: exchanges of one node fare alike, and a node beside a noisy
-// neighbour is one bad node and no bad version. All nodes are put in order by a figure, and as many of the worst are
-// looked at as there are new ones. If the version makes no difference, the number of new ones among them is
-// hypergeometric, whatever the figures' distribution. Two questions are asked, each with an error rate of its own:
+// A node is one sample, however many exchanges it had: exchanges of one node fare alike, and a node beside a
+// noisy neighbour is one bad node and no bad version. All nodes are put in order by a figure, and as many of
+// the worst are looked at as there are new ones. If the version makes no difference, the number of new ones
+// among them is hypergeometric, whatever the figures' distribution. Two questions are asked, each with an
+// error rate of its own:
 //   bad:  shown worse by more than `worse_by`; `false_halts` bounds, over all looks of a release, how often a
 //         version that is not is called bad;
 //   good: shown not worse by `good_within`; `false_goods` bounds how often a wave that is passes.
@@ -42,8 +43,8 @@
   void watch(const std::vector<routing::Member>& members, Nanos now);
   Nanos begun() const { return begun_; }
 
-  // `fresh`: nodes in the new version; `others`: those that wait. Looks are counted: what a false halt may cost is
-  // spread over `looks` of them.
+  // `fresh`: nodes in the new version; `others`: those that wait. Looks are counted: what a false halt may
+  // cost is spread over `looks` of them.
   Finding look(const agreement::Plan& plan, const std::vector<routing::Member>& members,
                const std::set<std::string>& fresh, const std::set<std::string>& others, unsigned looks,
                Nanos now) const;
@@ -56,9 +57,9 @@
     report::NodeReport report;
   };
   struct Measured {
-    unsigned reads = 0;      // the least of any group that is judged
-    double not_served = 0;   // share of a group's reads
-    double late = 0;         // share of its answers
+    unsigned reads = 0;     // the least of any group that is judged
+    double not_served = 0;  // share of a group's reads
+    double late = 0;        // share of its answers
   };
   void start(Base& base, const routing::Member& member, Nanos now);
 
--- a/src/releases/plan.cpp
+++ b/src/releases/plan.cpp
@@ -54,7 +54,8 @@
   out.set_most_failed(static_cast<std::uint32_t>(root.whole_or("most_failed", 0, 0, 10'000)));
   out.set_reserve(thousandths(root.number_or("reserve", 0.1, 0, 0.9)));
   if (auto health = root.part_if("health")) {
-    out.set_least_exchanges(static_cast<std::uint32_t>(health->whole_or("least_exchanges", 20, 1, 1'000'000)));
+    out.set_least_exchanges(
+        static_cast<std::uint32_t>(health->whole_or("least_exchanges", 20, 1, 1'000'000)));
     out.set_worse_by(thousandths(health->number_or("worse_by", 0.03, 0, 1)));
     out.set_good_within(thousandths(health->number_or("good_within", 0.1, 0.001, 1)));
     out.set_slower_by(thousandths(health->number_or("slower_by", 0.15, 0, 10)));
--- a/src/releases/room.cpp
+++ b/src/releases/room.cpp
@@ -31,7 +31,9 @@
   }
 }
 
-std::uint64_t thousandths(double value) { return static_cast<std::uint64_t>(std::llround(kThousandths * value)); }
+std::uint64_t thousandths(double value) {
+  return static_cast<std::uint64_t>(std::llround(kThousandths * value));
+}
 
 }  // namespace
 
@@ -44,19 +46,20 @@
     one.set_capacity(std::max<std::uint64_t>(1, thousandths(node.capacity)));
     capacities[node.name] = one.capacity();
   }
-  each_part(fleet, [&](const std::string& name, const fleet::MostOut& most, const std::set<std::string>& nodes) {
-    agreement::Budget& budget = *out.add_budgets();
-    budget.set_name(name);
-    budget.set_by_count(most.by_count);
-    std::uint64_t all = 0;
-    for (const std::string& node : nodes) {
-      budget.add_nodes(node);
-      all += capacities[node];
-    }
-    budget.set_most(most.by_count
-                        ? thousandths(most.most)
-                        : static_cast<std::uint64_t>(std::llround(most.most * static_cast<double>(all))));
-  });
+  each_part(
+      fleet, [&](const std::string& name, const fleet::MostOut& most, const std::set<std::string>& nodes) {
+        agreement::Budget& budget = *out.add_budgets();
+        budget.set_name(name);
+        budget.set_by_count(most.by_count);
+        std::uint64_t all = 0;
+        for (const std::string& node : nodes) {
+          budget.add_nodes(node);
+          all += capacities[node];
+        }
+        budget.set_most(most.by_count
+                            ? thousandths(most.most)
+                            : static_cast<std::uint64_t>(std::llround(most.most * static_cast<double>(all))));
+      });
   return out;
 }
 
@@ -73,8 +76,8 @@
       whole_ += member.report.limit;
     }
     if (member.heard_at == 0) continue;
-    // What is denied comes again, elsewhere too: counted once for each share denied, and not as often as it is
-    // read.
+    // What is denied comes again, elsewhere too: counted once for each share denied, and not as often as it
+    // is read.
     double read = member.read.read(member.heard_at);
     double denied = read > 1 ? std::min(1.0, member.denied.read(member.heard_at) / read) : 0;
     busy_ += member.asked_of(member.heard_at) * (1 + denied);
@@ -96,7 +99,8 @@
     if (out_.contains(node)) part.row.out += counts(part, node);
   }
   // To the same thousandth as what is agreed.
-  part.row.most = most.by_count ? most.most : std::round(most.most * part.row.all * kThousandths) / kThousandths;
+  part.row.most =
+      most.by_count ? most.most : std::round(most.most * part.row.all * kThousandths) / kThousandths;
   parts_.push_back(std::move(part));
 }
 
@@ -113,18 +117,19 @@
     double more = already ? 0 : counts(part, node);
     bool fits = stuck_.contains(node) || part.row.out + more <= part.row.most + kNothing;
     if (part.row.most > kNothing && fits) continue;
-    std::snprintf(line, sizeof line, "%s: %.2f of %.2f that may be out is out", part.row.name.c_str(), part.row.out,
-                  part.row.most);
+    std::snprintf(line, sizeof line, "%s: %.2f of %.2f that may be out is out", part.row.name.c_str(),
+                  part.row.out, part.row.most);
     return line;
   }
-  // Reserve at the load of the moment: a fleet that is full already must not lose more. Could hold a release up
-  // for as long as the fleet is short, which is when it should wait.
+  // Reserve at the load of the moment: a fleet that is full already must not lose more. Could hold a release
+  // up for as long as the fleet is short, which is when it should wait.
   auto limit = limits_.find(node);
   if (already || limit == limits_.end()) return "";
   double stays = whole_ - limit->second;
   if (busy_ <= (1 - reserve) * stays) return "";
-  std::snprintf(line, sizeof line, "load: %.1f exchanges run or wait, %.1f could run without it, %.0f%% to spare",
-                busy_, stays, 100 * reserve);
+  std::snprintf(line, sizeof line,
+                "load: %.1f exchanges run or wait, %.1f could run without it, %.0f%% to spare", busy_, stays,
+                100 * reserve);
   return line;
 }
 
--- a/src/releases/room.h
+++ b/src/releases/room.h
@@ -1,5 +1,5 @@
-// What may be out of the fleet at this moment, as whoever decides measures it: by fleet, zone, endpoint group and
-// service below, and at the load of the moment. No I/O.
+// What may be out of the fleet at this moment, as whoever decides measures it: by fleet, zone, endpoint group
+// and service below, and at the load of the moment. No I/O.
 //
 // What is agreed has a check of its own (agreement/outings); this one is by what nodes say.
 #pragma once
@@ -37,8 +37,8 @@
     double all = 0;
   };
   std::vector<Row> rows() const;
-  // Exchanges that run or wait, with a part for what is denied; and how many could run at once at nodes that are
-  // in service and warm, by the nodes' own measure.
+  // Exchanges that run or wait, with a part for what is denied; and how many could run at once at nodes that
+  // are in service and warm, by the nodes' own measure.
   double asked() const { return busy_; }
   double limit() const { return whole_; }
 
--- a/standin/control_fleet.cpp
+++ b/standin/control_fleet.cpp
@@ -40,14 +40,19 @@
 void ControlFleet::start(int at, Start how) {
   Place& one = (*this)[at];
   std::string id = std::to_string(at + 1);
-  std::vector<std::string> command = {
-      MYRTLECROFT_CONTROL, "serve",     "--fleet",
-      terms_.fleet,        "--xds",     on_loopback(one.xds),
-      "--reports",         on_loopback(one.reports), "--admin",
-      on_loopback(one.admin)};
+  std::vector<std::string> command = {MYRTLECROFT_CONTROL,
+                                      "serve",
+                                      "--fleet",
+                                      terms_.fleet,
+                                      "--xds",
+                                      on_loopback(one.xds),
+                                      "--reports",
+                                      on_loopback(one.reports),
+                                      "--admin",
+                                      on_loopback(one.admin)};
   if (terms_.agreed) {
-    command.insert(command.end(),
-                   {"--instance", id, "--peer", on_loopback(one.peer), "--log", state(at), "--reach", one.reach});
+    command.insert(command.end(), {"--instance", id, "--peer", on_loopback(one.peer), "--log", state(at),
+                                   "--reach", one.reach});
     std::string all;
     for (int k = 0; k < terms_.instances; ++k)
       all += (k ? "," : "") + std::to_string(k + 1) + "=" + on_loopback((*this)[k].peer);
--- a/standin/control_fleet.h
+++ b/standin/control_fleet.h
@@ -11,16 +11,16 @@
 
 namespace myrtlecroft::standin {
 
-// A port that nobody has, below those that the kernel gives to whoever connects: one that is asked of the kernel
-// may be somebody's again before the process that is meant to have it has started.
+// A port that nobody has, below those that the kernel gives to whoever connects: one that is asked of the
+// kernel may be somebody's again before the process that is meant to have it has started.
 int free_port(std::set<int>& taken);
 std::string on_loopback(int port);
 
 struct ControlFleetTerms {
   std::string folder;
-  std::string fleet;   // its file
+  std::string fleet;  // its file
   int instances = 3;
-  bool agreed = true;  // false: each decides alone
+  bool agreed = true;             // false: each decides alone
   std::vector<std::string> more;  // options of each
 };
 
--- a/standin/faults.h
+++ b/standin/faults.h
@@ -1,5 +1,6 @@
 // How one process is to be failed from inside, by the library in faulty.cpp that is loaded into it: its clock
-// stepped, its disk failing, full or slow, itself killed at a write that should last. Shared by way of a file.
+// stepped, its disk failing, full or slow, itself killed at a write that should last. Shared by way of a
+// file.
 #pragma once
 
 #include <fcntl.h>
@@ -29,7 +30,8 @@
   explicit FaultFile(const std::string& path) : path_(path) {
     int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     bool sized = ::ftruncate(file, sizeof(Faults)) == 0;
-    void* at = sized ? ::mmap(nullptr, sizeof(Faults), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0) : MAP_FAILED;
+    void* at =
+        sized ? ::mmap(nullptr, sizeof(Faults), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0) : MAP_FAILED;
     ::close(file);
     if (at != MAP_FAILED) faults_ = static_cast<Faults*>(at);
   }
--- a/standin/faulty.cpp
+++ b/standin/faulty.cpp
@@ -64,7 +64,7 @@
   static auto call = next<ssize_t (*)(int, const void*, size_t)>("write");
   Faults* now = faults();
   int code = now ? now->write_error.load() : 0;
-  struct stat what{};
+  struct stat what {};
   // Logs go to standard output, and must tell of what happens.
   if (code != 0 && file > 2 && ::fstat(file, &what) == 0 && S_ISREG(what.st_mode)) {
     errno = code;
--- a/tests/releases_test.cpp
+++ b/tests/releases_test.cpp
@@ -1,5 +1,5 @@
-// Who may be out, drains and releases: the agreed rules, what may be out, the judge, and a fleet of fakes that
-// one instance leads.
+// Who may be out, drains and releases: the agreed rules, what may be out, the judge, and a fleet of fakes
+// that one instance leads.
 #include <google/protobuf/util/json_util.h>
 #include <gtest/gtest.h>
 
@@ -273,7 +273,8 @@
 TEST(RoomStory, EachPartOfTheFleetHasABudgetOfItsOwn) {
   fleet::Fleet fleet = fleet_of(6, {.by_count = true, .most = 4});
   fleet.outings.zone_most_out = {.by_count = false, .most = 0.34};
-  fleet.services.push_back({.name = "ledger", .used_by = {"n1", "n2", "n4"}, .most_out = {.by_count = true, .most = 1}});
+  fleet.services.push_back(
+      {.name = "ledger", .used_by = {"n1", "n2", "n4"}, .most_out = {.by_count = true, .most = 1}});
   std::vector<routing::Member> members;
   for (const fleet::Node& node : fleet.nodes) members.push_back(member_of(node));
   Room room(fleet, members, {});
@@ -384,7 +385,8 @@
 
 TEST(JudgeStory, WorkThatCostsMoreIsBad) {
   JudgeWorld world(60, 4);
-  for (std::size_t i = 0; i < 60; ++i) world.serve(i, 60, 0.02, i < 4 ? 20 : 10 + static_cast<double>(i % 5) / 10);
+  for (std::size_t i = 0; i < 60; ++i)
+    world.serve(i, 60, 0.02, i < 4 ? 20 : 10 + static_cast<double>(i % 5) / 10);
   Finding found = world.look();
   EXPECT_EQ(found.verdict, releases::Verdict::kBad);
   EXPECT_NE(found.why.find("core time"), std::string::npos);
@@ -499,7 +501,8 @@
     }
     std::uint64_t applied = state.published();
     decision.set_applied(applied);
-    agreement::Chapter::View view{state, router, commands, applied, state.time() + decision.elapsed_ns(), now};
+    agreement::Chapter::View view{state, router, commands, applied, state.time() + decision.elapsed_ns(),
+                                  now};
     conductor.watch(view);
     if (!cut_off) conductor.draft(view, decision);
     ASSERT_EQ(state.apply(decision), Verdict::kTaken);
@@ -551,8 +554,8 @@
   }
   const agreement::Release& release() const { return state.outings().release(); }
   int with(std::uint32_t version) const {
-    return static_cast<int>(
-        std::count_if(nodes.begin(), nodes.end(), [&](const FakeNode& one) { return one.version == version; }));
+    return static_cast<int>(std::count_if(nodes.begin(), nodes.end(),
+                                          [&](const FakeNode& one) { return one.version == version; }));
   }
 
   Nanos now = 2 * kSecond;
@@ -622,7 +625,8 @@
 
 TEST_F(FleetStory, AServiceBelowThatSlowsAsTheWaveGoesHaltsIt) {
   fleet::Fleet fleet = fleet_of(10);
-  for (const fleet::Node& node : fleet.nodes) fleet.services.resize(1), fleet.services[0].used_by.push_back(node.name);
+  for (const fleet::Node& node : fleet.nodes)
+    fleet.services.resize(1), fleet.services[0].used_by.push_back(node.name);
   fleet.services[0].name = "ledger";
   fleet.services[0].most_out = {.by_count = true, .most = 2};
   router.fleet_changed(fleet, now);
