Read over: one envelope, one way to tell a plan, one look at the fleet, and a setting that bound nothing

Cause: reading the change over. The head of a message to another instance, the command that starts a release and 'sick, mute or silent' stood in two to four places; usual health terms twice in one file; 'refused: ' twice; waiting() handed back by reference what its caller knew; services were looked up node by node in all members each beat; a look of the judge was one function; a stream's two flags were one state; some of it was dead (Judge::Measured, Room's getters, the rig's answers). Change: message_to, start_command and read_told, has_failed, set_usual_health and read_health, any_out, nodes_called, Judge::measured, Offered. outings.empty_within_ms was read, documented and never heeded, as a drain is waited for: it is gone, and so refused. A capacity is rounded to the thousandth in one way. A stream that was offered no open shard waits for its proxy to be agreed like any other. The node's sources are untouched.

--- a/measure/agreement_rig.cpp
+++ b/measure/agreement_rig.cpp
@@ -1,7 +1,5 @@
 #include "agreement_rig.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
@@ -23,10 +21,10 @@
 #include "../standin/node_config.h"
 #include "../standin/proxy.h"
 #include "../standin/relay.h"
-#include "agreement.pb.h"
 #include "control/ask.h"
 #include "net/address.h"
 #include "operator.h"
+#include "releases/plan.h"
 
 namespace myrtlecroft::rehearsal {
 namespace {
@@ -532,7 +530,7 @@
 
   // ---- Releases, as operators see them through
 
-  std::string plan_of(const ReleaseWanted& wanted) const {
+  agreement::Plan plan_of(const ReleaseWanted& wanted) const {
     agreement::Plan plan;
     plan.set_name(name_of(wanted.bad));
     plan.set_version(static_cast<std::uint32_t>(wanted.to));
@@ -555,9 +553,7 @@
     plan.set_alarm_for_ns(5 * kSecond);
     plan.set_reserve(50);
     for (const char* group : kReads) plan.add_groups(group);
-    std::string out;
-    if (!google::protobuf::util::MessageToJsonString(plan, &out).ok()) return "";
-    return out;
+    return plan;
   }
 
   void run_releases() {
@@ -571,7 +567,7 @@
       going_->seen.wanted = wanted;
       going_->begun = now;
       going_->id = operator_->status().release().id() + 1;
-      operator_->say(wanted.by, "release start " + plan_of(wanted));
+      operator_->say(wanted.by, releases::start_command(plan_of(wanted)));
       add_note("release to " + std::to_string(wanted.to) + ", " + name_of(wanted.bad));
       return;
     }
--- a/measure/agreement_world.cpp
+++ b/measure/agreement_world.cpp
@@ -1,10 +1,10 @@
 #include "agreement_world.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "releases/plan.h"
+
 namespace myrtlecroft::rehearsal {
 namespace {
 
@@ -439,8 +439,7 @@
   plan.set_alarm(900);
   plan.set_alarm_for_ns(3 * kSecond);
   if (chance() < 0.3) bad_.insert(plan.version());
-  std::string told;
-  if (google::protobuf::util::MessageToJsonString(plan, &told).ok()) one.instance->command("release start " + told);
+  one.instance->command(releases::start_command(plan));
 }
 
 // ---- Nodes and proxies
--- a/measure/operator.cpp
+++ b/measure/operator.cpp
@@ -35,26 +35,14 @@
   return status_;
 }
 
-std::vector<std::string> Operator::answers() const {
-  std::lock_guard lock(mutex_);
-  return answers_;
-}
-
-bool Operator::try_to_say(int instance, const std::string& command) {
-  std::string said;
+bool Operator::try_to_say(int instance, const std::string& command) const {
   try {
     int port = admins_[static_cast<std::size_t>(instance) % admins_.size()];
-    control::AdminAnswer answer = control::ask(net::loopback(static_cast<std::uint16_t>(port)), command);
-    bool later = answer.error().find("out of touch") != std::string::npos ||
-                 answer.error().find("not agreed") != std::string::npos;
-    said = answer.error().empty() ? answer.done() : "refused: " + answer.error();
-    if (later) return false;
+    std::string error = control::ask(net::loopback(static_cast<std::uint16_t>(port)), command).error();
+    return error.find("out of touch") == std::string::npos && error.find("not agreed") == std::string::npos;
   } catch (const std::exception&) {
     return false;
   }
-  std::lock_guard lock(mutex_);
-  answers_.push_back(command.substr(0, 20) + ": " + said);
-  return true;
 }
 
 void Operator::run() {
--- a/measure/operator.h
+++ b/measure/operator.h
@@ -22,17 +22,16 @@
   void say(int instance, const std::string& command);
   // The last that some instance said, by the highest epoch.
   control::AdminAnswer status() const;
-  std::vector<std::string> answers() const;
 
  private:
   void run();
-  bool try_to_say(int instance, const std::string& command);
+  // False: it did not get through.
+  bool try_to_say(int instance, const std::string& command) const;
 
   std::vector<int> admins_;
   mutable std::mutex mutex_;
   std::condition_variable more_;
   std::deque<std::pair<int, std::string>> wanted_;
-  std::vector<std::string> answers_;
   control::AdminAnswer status_;
   bool ending_ = false;
   std::thread thread_;
--- a/src/agreement/instance.cpp
+++ b/src/agreement/instance.cpp
@@ -154,15 +154,20 @@
   return std::exchange(new_, false);
 }
 
+consensus::PeerMessage Instance::message_to(consensus::InstanceId id) const {
+  consensus::PeerMessage out;
+  out.set_fleet(terms_.log.fleet);
+  out.set_from(terms_.id);
+  out.set_to(id);
+  out.set_address(terms_.address);
+  return out;
+}
+
 void Instance::say() {
   said_at_ = now();
   for (const consensus::Server& server : member_->servers()) {
     if (server.id() == terms_.id) continue;
-    consensus::PeerMessage message;
-    message.set_fleet(terms_.log.fleet);
-    message.set_from(terms_.id);
-    message.set_to(server.id());
-    message.set_address(terms_.address);
+    consensus::PeerMessage message = message_to(server.id());
     consensus::Word& word = *message.mutable_word();
     contact_.fill(server.id(), member_->term(), member_->leader(), now(), word);
     word.set_confirmed(member_->leads() && in_touch());
@@ -273,11 +278,7 @@
   for (const consensus::Server& server : member_->servers()) {
     if (server.id() != member_->leader() || server.id() == terms_.id) continue;
     for (const auto& [id, text] : own_commands_) {
-      consensus::PeerMessage message;
-      message.set_fleet(terms_.log.fleet);
-      message.set_from(terms_.id);
-      message.set_to(server.id());
-      message.set_address(terms_.address);
+      consensus::PeerMessage message = message_to(server.id());
       message.mutable_command()->set_id(id);
       message.mutable_command()->set_text(text);
       wire_.send(message, server.address());
--- a/src/agreement/instance.h
+++ b/src/agreement/instance.h
@@ -116,6 +116,7 @@
   void join();
   void rejoin();
   void prove(const consensus::PeerMessage& message);
+  consensus::PeerMessage message_to(consensus::InstanceId id) const;
   void say();
   void decide();
   void propose(Decision decision);
--- a/src/agreement/outings.cpp
+++ b/src/agreement/outings.cpp
@@ -100,10 +100,9 @@
   for (const DrainStep& one : decision.drains()) {
     if (one.wanted() == drains_.contains(one.node())) return false;
     one.wanted() ? void(drains_.insert(one.node())) : void(drains_.erase(one.node()));
-    if (AgreedTrip* trip = one.wanted() || !trips_.contains(one.node()) ? nullptr : &trips_[one.node()];
-        trip && trip->why == WHY_DRAIN && trip->gets_nothing()) {
-      enter(*trip, TripPlace::kReturning, around);
-    }
+    auto trip = trips_.find(one.node());
+    bool ends = !one.wanted() && trip != trips_.end() && trip->second.why == WHY_DRAIN;
+    if (ends && trip->second.gets_nothing()) enter(trip->second, TripPlace::kReturning, around);
   }
   if (decision.has_release() && !step(decision.release(), around)) return false;
   for (const TripStep& one : decision.trips()) {
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -252,7 +252,7 @@
 
 void Control::serve_agreed() {
   agreement::Instance& instance = agreed_->instance();
-  if (operators_) operators_->tick();
+  operators_->tick();
   auto published = instance.published();
   if (published && (!served_ || served_->number != published->number)) publish(*published);
   xds::SessionTable::Gate gate;
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -220,11 +220,7 @@
     }
     std::string question = app.get_subcommands().front()->get_name();
     if (releasing->parsed()) question += " " + releasing->get_subcommands().front()->get_name();
-    if (release_start->parsed()) {
-      std::string told;
-      if (!google::protobuf::util::MessageToJsonString(releases::read_plan(plan), &told).ok()) return 1;
-      question += " " + told;
-    }
+    if (release_start->parsed()) question = releases::start_command(releases::read_plan(plan));
     for (const std::string& word : words) question += " " + word;
     return show(admin, question, as_json);
   } catch (const settings::DocumentError& error) {
--- a/src/control/operators.cpp
+++ b/src/control/operators.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Nanos kLongestCommand = 4000 * kMs;  // shorter than a caller waits
-constexpr std::string_view kRefused = "refused: ";
 
 double seconds(Nanos time) { return static_cast<double>(time) / static_cast<double>(kSecond); }
 
@@ -37,8 +36,8 @@
 }
 
 void Operators::finish(Waiting& one, const std::string& said) {
-  bool refused = said.starts_with(kRefused);
-  refused ? one.answer.set_error(said.substr(kRefused.size())) : one.answer.set_done(said);
+  bool refused = said.starts_with(releases::kRefused);
+  refused ? one.answer.set_error(said.substr(releases::kRefused.size())) : one.answer.set_done(said);
   write_answer(*one.connection, one.answer);
 }
 
@@ -50,12 +49,11 @@
               .answer = std::move(answer)};
   agreement::Instance& instance = agreed_.instance();
   if (!instance.in_touch())
-    return finish(one, std::string(kRefused) +
-                           "this instance is out of touch with a majority, and nothing is permitted");
+    return finish(
+        one, releases::kRefused + "this instance is out of touch with a majority, and nothing is permitted");
   for (const auto& [other, known] : instance.agreed().instances()) {
     if (known.format < agreement::kOutingsFormat)
-      return finish(one,
-                    std::string(kRefused) + "instance " + std::to_string(other) + " knows no releases yet");
+      return finish(one, releases::kRefused + "instance " + std::to_string(other) + " knows no releases yet");
   }
   one.command = instance.command(command);
   waiting_[id] = std::move(one);
@@ -80,7 +78,7 @@
     if (!result) agreed_.instance().forget_command(one->second.command);
     finish(one->second,
            result ? result->said()
-                  : std::string(kRefused) +
+                  : releases::kRefused +
                         "not agreed in time; it may still come to be: see 'release status' and 'outings'");
     one = waiting_.erase(one);
   }
@@ -138,13 +136,12 @@
     if (!one.failed().empty()) row.add_failed(one.node() + ": " + one.failed());
   }
   row.set_outlook(outings.under_way() ? agreed_.conductor().outlook() : "");
-  row.set_left_s(left_s(row));
+  row.set_left_s(outings.under_way() ? left_s(row, release.phase() == agreement::PHASE_BACK) : -1);
 }
 
 // As fast as it went so far; before the first node is there nobody knows.
-double Operators::left_s(const ReleaseRow& row) const {
-  if (!agreed_.instance().agreed().outings().under_way() || row.reached() <= 0) return -1;
-  bool back = row.phase() == agreement::name_of(agreement::PHASE_BACK);
+double Operators::left_s(const ReleaseRow& row, bool back) {
+  if (row.reached() <= 0) return -1;
   double share = back ? row.reached() : 1 - row.reached();
   double done = back ? 1 - row.reached() : row.reached();
   return done > 0 ? (back ? row.in_phase_s() : row.age_s()) * share / done : -1;
--- a/src/control/operators.h
+++ b/src/control/operators.h
@@ -30,7 +30,7 @@
     AdminAnswer answer;
   };
   static void finish(Waiting& one, const std::string& said);
-  double left_s(const ReleaseRow& row) const;
+  static double left_s(const ReleaseRow& row, bool back);
 
   net::Loop& loop_;
   Agreed& agreed_;
--- a/src/control/tables.cpp
+++ b/src/control/tables.cpp
@@ -74,8 +74,7 @@
                   row.leads() ? "yes" : "no", static_cast<unsigned long long>(row.applied()),
                   row.heard_s_ago(), row.format(), row.settings().c_str(), row.here() ? "  (here)" : "");
     }
-  } else if (question == "outings" || question.starts_with("release") || question.starts_with("drain") ||
-             question.starts_with("undrain")) {
+  } else if (question == "outings" || question == "release status") {
     print_release(answer);
     print_outings(answer);
   } else if (question == "nodes") {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -103,7 +103,6 @@
   out.most_out = most_out_in(part, "most_out", out.most_out);
   out.zone_most_out = most_out_in(part, "zone_most_out", out.zone_most_out);
   out.reserve = part.number_or("reserve", out.reserve, 0, 0.9);
-  out.empty_within = part.millis_or("empty_within_ms", out.empty_within, 100, kLongest);
   out.permit_lasts = part.millis_or("permit_lasts_ms", out.permit_lasts, 1000, kLongest);
   part.nothing_else();
   return out;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -43,7 +43,6 @@
   MostOut most_out{.by_count = false, .most = 0.1};
   MostOut zone_most_out;
   double reserve = 0.1;                // of what stays, that must be to spare at the load of the moment
-  Nanos empty_within = 15'000 * kMs;   // of a drain
   Nanos permit_lasts = 120'000 * kMs;  // at least; one that is in use is drawn out
 
   bool operator==(const Outings&) const = default;
--- a/src/releases/conductor.cpp
+++ b/src/releases/conductor.cpp
@@ -1,7 +1,5 @@
 #include "releases/conductor.h"
 
-#include <google/protobuf/util/json_util.h>
-
 #include <algorithm>
 #include <cstdio>
 #include <sstream>
@@ -26,12 +24,8 @@
 constexpr Nanos kNoMajorityFor = 5000 * kMs;  // of nothing agreed: a release then waits for its operators
 constexpr Nanos kMargin = 5000 * kMs;         // of a permit, beyond what its steps may take
 constexpr unsigned kLooks = 4;                // of one phase, at a version that may be bad
-constexpr unsigned kLeastOthers = 2;          // nodes that wait, to compare with
 constexpr int kMostShown = 3;                 // nodes named in a reason
-
-constexpr double kLeastRan = 20;  // lately, at what uses a service, to say how it fares
-
-const char* kRefused = "refused: ";
+constexpr double kLeastRan = 20;              // lately, at what uses a service, to say how it fares
 
 double seconds(Nanos time) { return static_cast<double>(time) / static_cast<double>(kSecond); }
 
@@ -42,6 +36,19 @@
   return out;
 }
 
+// A node, else a zone's nodes, else those that use a service.
+std::vector<std::string> nodes_called(const fleet::Fleet& fleet, const std::string& name) {
+  if (fleet.node(name)) return {name};
+  std::vector<std::string> out;
+  for (const fleet::Node& node : fleet.nodes) {
+    if (node.zone == name) out.push_back(node.name);
+  }
+  for (const fleet::Service& service : fleet.services) {
+    if (out.empty() && service.name == name) return service.used_by;
+  }
+  return out;
+}
+
 }  // namespace
 
 struct Conductor::Sight {
@@ -49,6 +56,7 @@
       : view(of), outings(of.agreed.outings()), release(outings.release()), plan(release.plan()) {
     for (const Member& member : of.router.members().all()) members[member.node.name] = &member;
     for (const auto& [node, trip] : outings.trips()) chosen.insert(node);
+    for (const Taken& one : release.taken()) taken[one.node()] = &one;
   }
   const Member* member(const std::string& node) const {
     auto found = members.find(node);
@@ -56,8 +64,9 @@
   }
   Nanos in_place(const AgreedTrip& trip) const { return view.time - trip.since; }
   bool has_version(const Member& member) const { return member.version == plan.version(); }
-  std::uint64_t capacity(const Member& member) const {
-    return static_cast<std::uint64_t>(std::max(1.0, 1000 * member.node.capacity));
+  bool any_out(agreement::Why why) const {
+    return std::any_of(outings.trips().begin(), outings.trips().end(),
+                       [why](const auto& one) { return one.second.why == why; });
   }
 
   const View& view;
@@ -66,6 +75,7 @@
   const Plan& plan;
   std::map<std::string, const Member*> members;
   std::set<std::string> chosen;
+  std::map<std::string, const Taken*> taken;
 };
 
 // ---- A node that is out: the first row that applies is taken
@@ -101,10 +111,8 @@
 }
 
 bool Conductor::empty_late(const Sight& sight, const std::string&, const AgreedTrip& trip) const {
-  Nanos limit = trip.why == agreement::WHY_DRAIN ? sight.view.router.fleet().outings.empty_within
-                                                 : sight.plan.empty_within_ns();
   // What operators want empty stays called out: only a release goes on without it.
-  return trip.why != agreement::WHY_DRAIN && sight.in_place(trip) >= limit;
+  return trip.why != agreement::WHY_DRAIN && sight.in_place(trip) >= sight.plan.empty_within_ns();
 }
 
 bool Conductor::to_be_ordered(const Sight& sight, const std::string& node, const AgreedTrip& trip) const {
@@ -260,20 +268,16 @@
 
 // Nobody could go out for as long as a whole restart may take.
 std::optional<std::string> Conductor::starved(const Sight& sight) {
-  bool under_way = std::any_of(sight.outings.trips().begin(), sight.outings.trips().end(),
-                               [](const auto& one) { return one.second.why == agreement::WHY_RELEASE; });
   Nanos since = std::max(last_grant_, judge_.begun());
-  if (under_way || refusal_.empty() || sight.view.now - since < sight.plan.back_within_ns())
+  if (sight.any_out(agreement::WHY_RELEASE) || refusal_.empty() ||
+      sight.view.now - since < sight.plan.back_within_ns())
     return std::nullopt;
   return "nobody may go out: " + refusal_;
 }
 
 std::optional<std::string> Conductor::wave_is_back(const Sight& sight) {
-  for (const auto& [node, trip] : sight.outings.trips()) {
-    if (trip.why == agreement::WHY_RELEASE) return std::nullopt;
-  }
-  agreement::Why why = agreement::WHY_RELEASE;
-  return waiting(sight, why).empty() ? std::optional(std::string()) : std::nullopt;
+  bool back = !sight.any_out(agreement::WHY_RELEASE) && waiting(sight).empty();
+  return back ? std::optional(std::string()) : std::nullopt;
 }
 
 std::optional<std::string> Conductor::good(const Sight& sight) {
@@ -296,11 +300,8 @@
 }
 
 std::optional<std::string> Conductor::all_went_back(const Sight& sight) {
-  for (const auto& [node, trip] : sight.outings.trips()) {
-    if (trip.why != agreement::WHY_DRAIN) return std::nullopt;
-  }
-  agreement::Why why = agreement::WHY_BACK;
-  if (!waiting(sight, why).empty()) return std::nullopt;
+  if (sight.any_out(agreement::WHY_RELEASE) || sight.any_out(agreement::WHY_BACK)) return std::nullopt;
+  if (!waiting(sight).empty()) return std::nullopt;
   std::vector<std::string> left;
   for (const Taken& one : sight.release.taken()) {
     const Member* member = sight.member(one.node());
@@ -311,7 +312,6 @@
 }
 
 void Conductor::draft_release(const Sight& sight, Decision& out) {
-  if (out.has_release()) return;
   for (const ReleaseRow& row : kReleases) {
     if (row.phase != sight.release.phase()) continue;
     std::optional<std::string> why = (this->*row.when)(sight);
@@ -325,10 +325,9 @@
 // ---- Who goes out next
 
 // In the order in which they should go; empty: nobody waits.
-std::vector<std::string> Conductor::waiting(const Sight& sight, agreement::Why& why) const {
+std::vector<std::string> Conductor::waiting(const Sight& sight) const {
   std::vector<std::string> out;
   if (sight.release.phase() == agreement::PHASE_BACK) {
-    why = agreement::WHY_BACK;
     // The newest first: what went last has been looked at least.
     for (auto one = sight.release.taken().rbegin(); one != sight.release.taken().rend(); ++one) {
       const Member* member = sight.member(one->node());
@@ -340,23 +339,23 @@
     return out;
   }
   if (sight.release.phase() != agreement::PHASE_ROLLING) return out;
-  why = agreement::WHY_RELEASE;
   std::uint64_t all = 0;
   std::uint64_t reached = 0;
   unsigned taken = 0;
   std::map<std::string, int> zones;  // how many of a zone are listed
   std::multimap<int, std::pair<std::string, std::uint64_t>> spread;
   for (const Member& member : sight.view.router.members().all()) {
-    all += sight.capacity(member);
+    std::uint64_t capacity = capacity_of(member.node);
+    all += capacity;
     const AgreedTrip* trip = sight.outings.trip(member.node.name);
-    const Taken* before = sight.outings.taken(member.node.name);
-    bool failed = before && !before->failed().empty();
+    auto before = sight.taken.find(member.node.name);
+    bool failed = before != sight.taken.end() && !before->second->failed().empty();
     bool has = sight.has_version(member) || (trip && trip->why == agreement::WHY_RELEASE);
     if (has || failed) {
-      reached += sight.capacity(member);
+      reached += capacity;
       ++taken;
     } else if (!trip && member.whole() && member.report.obeys) {
-      spread.emplace(zones[member.node.zone]++, std::make_pair(member.node.name, sight.capacity(member)));
+      spread.emplace(zones[member.node.zone]++, std::make_pair(member.node.name, capacity));
     }
   }
   std::uint32_t wave = sight.release.wave();
@@ -401,33 +400,31 @@
     if (member && member->heard_at > 0 && !sight.chosen.contains(node))
       grant(node, agreement::WHY_DRAIN, 0, terms.permit_lasts, terms.reserve);
   }
-  if (!Outings::is_under_way(sight.release.phase())) return;
+  if (!sight.outings.under_way()) return;
   const Plan& plan = sight.plan;
   Nanos lasts = plan.empty_within_ns() + plan.back_within_ns() + plan.warm_within_ns() + kMargin;
-  agreement::Why why = agreement::WHY_RELEASE;
-  for (const std::string& node : waiting(sight, why)) {
+  bool back = sight.release.phase() == agreement::PHASE_BACK;
+  for (const std::string& node : waiting(sight)) {
     // Nobody but operators takes out what they hold empty, and nobody twice.
     if (sight.outings.drains().contains(node)) continue;
-    const Taken* before = sight.outings.taken(node);
-    std::uint32_t version = why == agreement::WHY_BACK ? before->from_version() : plan.version();
-    grant(node, why, version, lasts, plan.reserve() / 1000.0);
+    std::uint32_t version = back ? sight.taken.at(node)->from_version() : plan.version();
+    grant(node, back ? agreement::WHY_BACK : agreement::WHY_RELEASE, version, lasts, plan.reserve() / 1000.0);
   }
 }
 
 // ---- Operators
 
 // One command a decision, so that each is judged by what the one before has changed.
-void Conductor::draft_command(const View& view, Decision& out) {
-  Sight sight(view);
-  for (const auto& [id, text] : view.commands) {
-    if (view.agreed.outings().result(id)) continue;
+void Conductor::draft_command(const Sight& sight, Decision& out) {
+  for (const auto& [id, text] : sight.view.commands) {
+    if (sight.outings.result(id)) continue;
     std::istringstream words(text);
     std::string what;
     std::string name;
     std::string rest;
     words >> what >> name;
     std::getline(words >> std::ws, rest);
-    std::string said = std::string(kRefused) + "unknown command";
+    std::string said = kRefused + "unknown command";
     if (what == "drain" || what == "undrain") said = drain(sight, name, what == "drain", out);
     if (what == "release") said = release(sight, name, rest, out);
     agreement::CommandResult& result = *out.add_results();
@@ -439,19 +436,8 @@
 }
 
 std::string Conductor::drain(const Sight& sight, const std::string& name, bool wanted, Decision& out) {
-  std::vector<std::string> nodes;
   const fleet::Fleet& fleet = sight.view.router.fleet();
-  if (fleet.node(name)) nodes.push_back(name);
-  for (const fleet::Node& node : fleet.nodes) {
-    if (nodes.empty() || nodes.front() != name) {
-      if (node.zone == name) nodes.push_back(node.name);
-    }
-  }
-  if (nodes.empty()) {
-    for (const fleet::Service& service : fleet.services) {
-      if (service.name == name) nodes = service.used_by;
-    }
-  }
+  std::vector<std::string> nodes = nodes_called(fleet, name);
   if (nodes.empty()) return kRefused + ("no node, zone or service is named '" + name + "'");
   int changed = 0;
   for (const std::string& node : nodes) {
@@ -485,8 +471,7 @@
     if (Outings::is_under_way(now.phase())) {
       return refused(name + " is " + agreement::name_of(now.phase()) + ": end it or take it back first");
     }
-    if (!google::protobuf::util::JsonStringToMessage(rest, step.mutable_plan()).ok())
-      return refused("the plan makes no sense to this version");
+    if (!read_told(rest, *step.mutable_plan())) return refused("the plan makes no sense to this version");
     step.set_input(agreement::RELEASE_START);
     std::size_t deaf = 0;
     for (const auto& [node, member] : sight.members) deaf += member->heard_at > 0 && !member->report.obeys;
@@ -565,36 +550,33 @@
 
 // Of what uses a service, and does not have the new version: what is not served in time. A service that slows
 // as a wave goes is no fault of the version, and no time to go on either.
-void Conductor::measure_alarms(const View& view) {
-  const Plan& plan = view.agreed.outings().release().plan();
-  Phase phase = view.agreed.outings().release().phase();
-  for (const fleet::Service& service : view.router.fleet().services) {
+void Conductor::measure_alarms(const Sight& sight) {
+  bool under_way = sight.outings.under_way();
+  for (const fleet::Service& service : sight.view.router.fleet().services) {
     double ran = 0;
     double in_time = 0;
-    for (const Member& member : view.router.members().all()) {
-      bool uses = std::find(service.used_by.begin(), service.used_by.end(), member.node.name) !=
-                  service.used_by.end();
-      bool fresh = Outings::is_under_way(phase) && member.version == plan.version();
-      if (!uses || fresh || !member.in_service()) continue;
-      ran += member.ran.read(view.now);
-      in_time += member.in_time.read(view.now);
+    for (const std::string& node : service.used_by) {
+      const Member* member = sight.member(node);
+      if (!member || !member->in_service() || (under_way && sight.has_version(*member))) continue;
+      ran += member->ran.read(sight.view.now);
+      in_time += member->in_time.read(sight.view.now);
     }
     Below& below = below_[service.name];
     below.now = ran < kLeastRan ? below.at_start : std::clamp(1 - in_time / ran, 0.0, 1.0);
-    if (!Outings::is_under_way(phase)) {
+    if (!under_way) {
       below.at_start = below.now;
       below.above_since = 0;
-    } else if (below.now <= below.at_start + plan.alarm() / 1000.0) {
+    } else if (below.now <= below.at_start + sight.plan.alarm() / 1000.0) {
       below.above_since = 0;
     } else if (below.above_since == 0) {
-      below.above_since = view.now;
+      below.above_since = sight.view.now;
     }
   }
 }
 
 void Conductor::watch(const View& view) {
   follow(view);
-  measure_alarms(view);
+  measure_alarms(Sight(view));
 }
 
 void Conductor::draft(const View& view, Decision& out) {
@@ -602,7 +584,7 @@
   agreement::Budgets budgets = budgets_of(view.router.fleet());
   bool same = budgets.SerializeAsString() == view.agreed.outings().budgets().SerializeAsString();
   if (!same) *out.mutable_budgets() = budgets;
-  draft_command(view, out);
+  draft_command(sight, out);
   bool commanded = out.has_release() || out.drains_size() > 0;
   if (!commanded) draft_release(sight, out);
   // A halt or a way back calls nodes back by itself; what else they would do waits for the next decision.
--- a/src/releases/conductor.h
+++ b/src/releases/conductor.h
@@ -18,6 +18,9 @@
 
 namespace myrtlecroft::releases {
 
+// What the result of a command that came to nothing begins with.
+const std::string kRefused = "refused: ";
+
 class Conductor final : public agreement::Chapter {
  public:
   using Log = std::function<void(const std::string&)>;
@@ -72,15 +75,15 @@
   std::optional<std::string> all_went_back(const Sight&);
 
   void follow(const View& view);
-  void measure_alarms(const View& view);
-  void draft_command(const View& view, agreement::Decision& out);
+  void measure_alarms(const Sight& sight);
+  void draft_command(const Sight& sight, agreement::Decision& out);
   std::string drain(const Sight& sight, const std::string& name, bool wanted, agreement::Decision& out);
   std::string release(const Sight& sight, const std::string& word, const std::string& rest,
                       agreement::Decision& out);
   void draft_trips(const Sight& sight, agreement::Decision& out);
   void draft_release(const Sight& sight, agreement::Decision& out);
   void draft_grants(const Sight& sight, agreement::Decision& out);
-  std::vector<std::string> waiting(const Sight& sight, agreement::Why& why) const;
+  std::vector<std::string> waiting(const Sight& sight) const;
   const Finding& finding(const Sight& sight);
   std::optional<std::string> failures(const Sight& sight) const;
 
--- a/src/releases/judge.cpp
+++ b/src/releases/judge.cpp
@@ -3,19 +3,15 @@
 #include <algorithm>
 #include <boost/math/distributions/hypergeometric.hpp>
 #include <cstdio>
-#include <optional>
 
 namespace myrtlecroft::releases {
 namespace {
 
-constexpr unsigned kLeastOthers = 2;  // nodes to compare with
 constexpr Nanos kLeastMeasured = 500 * kMs;
+const std::string kNotServed = " not served";  // behind a group's name
+const std::string kCoreTime = "core time";
 
-// Figures of nodes, the new ones apart.
-struct Figures {
-  std::vector<double> fresh;
-  std::vector<double> others;
-};
+using Figures = Judge::Figures;
 
 double median(std::vector<double> values) {
   if (values.empty()) return 0;
@@ -75,31 +71,25 @@
   for (const routing::Member& member : members) {
     Base& base = bases_[member.node.name];
     bool same = base.report.life == member.report.life;
-    bool broken = member.state == routing::State::kSick || member.state == routing::State::kMute ||
-                  member.state == routing::State::kSilent;
-    if (base.counts && same && broken && !member.called_out) base.fell = true;
+    if (base.counts && same && routing::has_failed(member.state) && !member.called_out) base.fell = true;
     if (member.whole() != base.counts || !same) start(base, member, now);
   }
 }
 
-Finding Judge::look(const agreement::Plan& plan, const std::vector<routing::Member>& members,
-                    const std::set<std::string>& fresh, const std::set<std::string>& others, unsigned looks,
-                    Nanos now) const {
-  std::map<std::string, Figures> shares;  // what is judged -> a share of each node
+Judge::Seen Judge::measured(const agreement::Plan& plan, const std::vector<routing::Member>& members,
+                            const std::set<std::string>& fresh, const std::set<std::string>& others,
+                            Nanos now) const {
+  Seen seen;
   Figures core;
-  std::map<std::string, unsigned> least;  // group -> the fewest exchanges of a new node
-  unsigned fell_fresh = 0;
-  unsigned fell_others = 0;
-  unsigned fresh_there = 0;
   for (const routing::Member& member : members) {
     bool is_fresh = fresh.contains(member.node.name);
     if (!is_fresh && !others.contains(member.node.name)) continue;
     auto found = bases_.find(member.node.name);
     if (found == bases_.end()) continue;
     const Base& base = found->second;
-    (is_fresh ? fell_fresh : fell_others) += base.fell;
+    (is_fresh ? seen.fell_fresh : seen.fell_others) += base.fell;
     if (!base.counts || now - base.since < kLeastMeasured) continue;
-    fresh_there += is_fresh;
+    seen.fresh_there += is_fresh;
     double completed = 0;
     for (const report::GroupCounts& counts : member.report.groups) {
       bool judged = plan.groups_size() == 0 || std::find(plan.groups().begin(), plan.groups().end(),
@@ -115,15 +105,15 @@
       completed += ended;
       if (!judged) continue;
       if (is_fresh) {
-        auto [fewest, first] = least.emplace(counts.group, static_cast<unsigned>(read));
+        auto [fewest, first] = seen.least.emplace(counts.group, static_cast<unsigned>(read));
         if (!first) fewest->second = std::min(fewest->second, static_cast<unsigned>(read));
       }
       if (read < plan.least_exchanges()) continue;
       auto put = [&](const std::string& what, double value) {
-        Figures& figures = shares[counts.group + what];
+        Figures& figures = seen.figures[counts.group + what];
         (is_fresh ? figures.fresh : figures.others).push_back(std::clamp(value, 0.0, 1.0));
       };
-      put(" not served", 1 - ended / read);
+      put(kNotServed, 1 - ended / read);
       if (ended >= plan.least_exchanges()) put(" late", 1 - grown(&report::GroupCounts::in_time) / ended);
     }
     if (completed >= plan.least_exchanges()) {
@@ -131,39 +121,47 @@
       (is_fresh ? core.fresh : core.others).push_back(each);
     }
   }
+  // Relative to what is usual.
+  double usual = median(core.others);
+  if (usual > 0) {
+    Figures& slower = seen.figures[kCoreTime];
+    for (double value : core.fresh) slower.fresh.push_back(value / usual);
+    for (double value : core.others) slower.others.push_back(value / usual);
+  }
+  return seen;
+}
 
+Finding Judge::look(const agreement::Plan& plan, const std::vector<routing::Member>& members,
+                    const std::set<std::string>& fresh, const std::set<std::string>& others, unsigned looks,
+                    Nanos now) const {
+  Seen seen = measured(plan, members, fresh, others, now);
   char line[200];
   auto fresh_all = static_cast<unsigned>(fresh.size());
   auto others_all = static_cast<unsigned>(others.size());
-  double tests = static_cast<double>(2 + shares.size()) * std::max(1u, looks);
+  std::size_t shares = seen.figures.size() - seen.figures.count(kCoreTime);
+  double tests = static_cast<double>(2 + shares) * std::max(1u, looks);  // and falling, and core time
   double most_false = plan.false_halts() / 1000.0 / tests;
 
   // Nodes that fell, as a figure of one or none each.
-  if (others_all >= kLeastOthers && fell_fresh > 0) {
-    double chance = chance_of_marked(fell_fresh, fresh_all, fell_fresh + fell_others, fresh_all + others_all);
+  if (others_all >= kLeastOthers && seen.fell_fresh > 0) {
+    double chance = chance_of_marked(seen.fell_fresh, fresh_all, seen.fell_fresh + seen.fell_others,
+                                     fresh_all + others_all);
     if (chance <= most_false) {
       std::snprintf(line, sizeof line,
-                    "%u of %u nodes with it fell out of service, %u of %u without; chance %.2g", fell_fresh,
-                    fresh_all, fell_others, others_all, chance);
+                    "%u of %u nodes with it fell out of service, %u of %u without; chance %.2g",
+                    seen.fell_fresh, fresh_all, seen.fell_others, others_all, chance);
       return {Verdict::kBad, line};
     }
   }
-  Figures slower;  // relative to what is usual
-  double usual = median(core.others);
-  if (usual > 0) {
-    for (double value : core.fresh) slower.fresh.push_back(value / usual);
-    for (double value : core.others) slower.others.push_back(value / usual);
-    shares["core time"] = slower;
-  }
   Finding good{.verdict = Verdict::kGood, .why = ""};
   auto not_known = [&](const std::string& why) {
     if (good.verdict == Verdict::kGood) good = {Verdict::kNotKnown, why};
   };
-  if (fresh_there < fresh.size())
-    not_known(std::to_string(fresh_there) + " of " + std::to_string(fresh_all) +
+  if (seen.fresh_there < fresh.size())
+    not_known(std::to_string(seen.fresh_there) + " of " + std::to_string(fresh_all) +
               " nodes with it are measured");
-  for (const auto& [what, figures] : shares) {
-    bool is_core = what == "core time";
+  for (const auto& [what, figures] : seen.figures) {
+    bool is_core = what == kCoreTime;
     double worse_by = (is_core ? plan.slower_by() : plan.worse_by()) / 1000.0;
     double within = is_core ? 3 * worse_by : plan.good_within() / 1000.0;
     unsigned count_fresh = count(figures.fresh);
@@ -185,13 +183,13 @@
     if (2 * best < count_fresh || chance_of(best, count_fresh, count_others) > plan.false_goods() / 1000.0)
       not_known(std::string("not shown to be as good, ") + line);
   }
-  for (const auto& [group, reads] : least) {
-    bool others_have =
-        shares.contains(group + " not served") && !shares[group + " not served"].others.empty();
+  for (const auto& [group, reads] : seen.least) {
+    auto served = seen.figures.find(group + kNotServed);
+    bool others_have = served != seen.figures.end() && !served->second.others.empty();
     if (reads < plan.least_exchanges() && others_have)
       not_known("group " + group + ": only " + std::to_string(reads) + " exchanges at some node with it");
   }
-  if (shares.empty()) not_known("too few exchanges");
+  if (seen.figures.empty()) not_known("too few exchanges");
   return good;
 }
 
--- a/src/releases/judge.h
+++ b/src/releases/judge.h
@@ -35,8 +35,16 @@
   return chance_of_marked(seen, fresh, fresh, fresh + others);
 }
 
+constexpr unsigned kLeastOthers = 2;  // nodes that wait, to compare with
+
 class Judge {
  public:
+  // One figure of each node, the new ones apart.
+  struct Figures {
+    std::vector<double> fresh;
+    std::vector<double> others;
+  };
+
   // From here on everything is measured anew.
   void begin(const std::vector<routing::Member>& members, Nanos now);
   // To be called often: a node that goes out of service, or comes back as another life, is measured anew.
@@ -56,11 +64,16 @@
     Nanos since = 0;
     report::NodeReport report;
   };
-  struct Measured {
-    unsigned reads = 0;     // the least of any group that is judged
-    double not_served = 0;  // share of a group's reads
-    double late = 0;        // share of its answers
+  // All that is judged at one look.
+  struct Seen {
+    std::map<std::string, Figures> figures;  // by what they are of
+    std::map<std::string, unsigned> least;   // group -> the fewest exchanges of a new node
+    unsigned fell_fresh = 0;
+    unsigned fell_others = 0;
+    unsigned fresh_there = 0;  // new nodes that are measured
   };
+  Seen measured(const agreement::Plan& plan, const std::vector<routing::Member>& members,
+                const std::set<std::string>& fresh, const std::set<std::string>& others, Nanos now) const;
   void start(Base& base, const routing::Member& member, Nanos now);
 
   std::map<std::string, Base> bases_;
--- a/src/releases/plan.cpp
+++ b/src/releases/plan.cpp
@@ -1,6 +1,6 @@
 #include "releases/plan.h"
 
-#include <cmath>
+#include <google/protobuf/util/json_util.h>
 
 #include "agreement/fence.h"
 #include "settings/document.h"
@@ -14,8 +14,6 @@
 constexpr std::int64_t kMostFirst = 1000;      // nodes
 constexpr std::size_t kMostWaves = 50;
 
-std::uint32_t thousandths(double value) { return static_cast<std::uint32_t>(std::lround(1000 * value)); }
-
 void read_waves(Part& root, agreement::Plan& out) {
   for (Part& wave : root.list("waves")) {
     out.add_waves(thousandths(wave.number("share", 0.001, 1)));
@@ -31,8 +29,48 @@
   if (out.waves(out.waves_size() - 1) != 1000) root.bad("waves", "do not end with a share of 1");
 }
 
+void set_usual_health(agreement::Plan& out) {
+  out.set_least_exchanges(20);
+  out.set_worse_by(30);
+  out.set_good_within(100);
+  out.set_slower_by(150);
+  out.set_false_halts(20);
+  out.set_false_goods(50);
+  out.set_alarm(200);
+  out.set_alarm_for_ns(3000 * kMs);
+}
+
+void read_health(Part& health, agreement::Plan& out) {
+  auto share = [&](const char* name, std::uint32_t usual, double least, double most) {
+    return thousandths(health.number_or(name, usual / 1000.0, least, most));
+  };
+  out.set_least_exchanges(
+      static_cast<std::uint32_t>(health.whole_or("least_exchanges", out.least_exchanges(), 1, 1'000'000)));
+  out.set_worse_by(share("worse_by", out.worse_by(), 0, 1));
+  out.set_good_within(share("good_within", out.good_within(), 0.001, 1));
+  out.set_slower_by(share("slower_by", out.slower_by(), 0, 10));
+  out.set_false_halts(share("false_halts", out.false_halts(), 0.001, 0.5));
+  out.set_false_goods(share("false_goods", out.false_goods(), 0.001, 0.5));
+  out.set_alarm(share("alarm", out.alarm(), 0.01, 1));
+  out.set_alarm_for_ns(health.millis_or("alarm_for_ms", out.alarm_for_ns(), 100, kLongest));
+  for (const std::string& group : health.texts("groups")) out.add_groups(group);
+  if (out.good_within() <= out.worse_by()) health.bad("good_within", "is not above worse_by");
+  health.nothing_else();
+}
+
 }  // namespace
 
+std::string start_command(const agreement::Plan& plan) {
+  std::string told;
+  // Fails for no message that is made of numbers and valid text.
+  if (!google::protobuf::util::MessageToJsonString(plan, &told).ok()) told.clear();
+  return "release start " + told;
+}
+
+bool read_told(const std::string& told, agreement::Plan& out) {
+  return google::protobuf::util::JsonStringToMessage(told, &out).ok();
+}
+
 agreement::Plan read_plan(const std::string& path) {
   settings::Document document(path);
   Part root = document.root();
@@ -53,29 +91,8 @@
   out.set_way_back(root.truth_or("way_back", true));
   out.set_most_failed(static_cast<std::uint32_t>(root.whole_or("most_failed", 0, 0, 10'000)));
   out.set_reserve(thousandths(root.number_or("reserve", 0.1, 0, 0.9)));
-  if (auto health = root.part_if("health")) {
-    out.set_least_exchanges(
-        static_cast<std::uint32_t>(health->whole_or("least_exchanges", 20, 1, 1'000'000)));
-    out.set_worse_by(thousandths(health->number_or("worse_by", 0.03, 0, 1)));
-    out.set_good_within(thousandths(health->number_or("good_within", 0.1, 0.001, 1)));
-    out.set_slower_by(thousandths(health->number_or("slower_by", 0.15, 0, 10)));
-    out.set_false_halts(thousandths(health->number_or("false_halts", 0.02, 0.001, 0.5)));
-    out.set_false_goods(thousandths(health->number_or("false_goods", 0.05, 0.001, 0.5)));
-    out.set_alarm(thousandths(health->number_or("alarm", 0.2, 0.01, 1)));
-    out.set_alarm_for_ns(health->millis_or("alarm_for_ms", 3000 * kMs, 100, kLongest));
-    for (const std::string& group : health->texts("groups")) out.add_groups(group);
-    if (out.good_within() <= out.worse_by()) health->bad("good_within", "is not above worse_by");
-    health->nothing_else();
-  } else {
-    out.set_least_exchanges(20);
-    out.set_worse_by(30);
-    out.set_good_within(100);
-    out.set_slower_by(150);
-    out.set_false_halts(20);
-    out.set_false_goods(50);
-    out.set_alarm(200);
-    out.set_alarm_for_ns(3000 * kMs);
-  }
+  set_usual_health(out);
+  if (auto health = root.part_if("health")) read_health(*health, out);
   root.nothing_else();
   return out;
 }
--- a/src/releases/plan.h
+++ b/src/releases/plan.h
@@ -1,6 +1,8 @@
 // The plan of a release, from its file (docs/releases.md).
 #pragma once
 
+#include <cmath>
+#include <cstdint>
 #include <string>
 
 #include "agreement.pb.h"
@@ -10,6 +12,16 @@
 // Throws settings::DocumentError.
 agreement::Plan read_plan(const std::string& path);
 
+// The command that starts it, and the plan of such a command's last word. False where it makes no sense to
+// this version.
+std::string start_command(const agreement::Plan& plan);
+bool read_told(const std::string& told, agreement::Plan& out);
+
+// As shares are agreed on.
+inline std::uint32_t thousandths(double value) {
+  return static_cast<std::uint32_t>(std::lround(1000 * value));
+}
+
 // Waves, the first few nodes counted as one.
 inline std::uint32_t waves_of(const agreement::Plan& plan) {
   return 1 + static_cast<std::uint32_t>(plan.waves_size());
--- a/src/releases/room.cpp
+++ b/src/releases/room.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "releases/plan.h"
+
 namespace myrtlecroft::releases {
 namespace {
 
@@ -31,19 +33,17 @@
   }
 }
 
-std::uint64_t thousandths(double value) {
-  return static_cast<std::uint64_t>(std::llround(kThousandths * value));
-}
-
 }  // namespace
 
+std::uint64_t capacity_of(const fleet::Node& node) { return std::max(1u, thousandths(node.capacity)); }
+
 agreement::Budgets budgets_of(const fleet::Fleet& fleet) {
   agreement::Budgets out;
   std::map<std::string, std::uint64_t> capacities;
   for (const fleet::Node& node : fleet.nodes) {
     agreement::Capacity& one = *out.add_capacities();
     one.set_node(node.name);
-    one.set_capacity(std::max<std::uint64_t>(1, thousandths(node.capacity)));
+    one.set_capacity(capacity_of(node));
     capacities[node.name] = one.capacity();
   }
   each_part(
--- a/src/releases/room.h
+++ b/src/releases/room.h
@@ -15,6 +15,8 @@
 
 namespace myrtlecroft::releases {
 
+// In thousandths, as it is agreed on.
+std::uint64_t capacity_of(const fleet::Node& node);
 // The fleet file's budgets, for all instances to agree on.
 agreement::Budgets budgets_of(const fleet::Fleet& fleet);
 
@@ -37,10 +39,6 @@
     double all = 0;
   };
   std::vector<Row> rows() const;
-  // Exchanges that run or wait, with a part for what is denied; and how many could run at once at nodes that
-  // are in service and warm, by the nodes' own measure.
-  double asked() const { return busy_; }
-  double limit() const { return whole_; }
 
  private:
   struct Part {
@@ -56,8 +54,8 @@
   std::set<std::string> out_;
   std::set<std::string> stuck_;  // of these, for their health
   std::vector<Part> parts_;
-  double busy_ = 0;
-  double whole_ = 0;
+  double busy_ = 0;   // exchanges that run or wait, with a part for what is denied
+  double whole_ = 0;  // that could run at once at nodes that are in service and warm, by their own measure
 };
 
 }  // namespace myrtlecroft::releases
--- a/src/routing/members.cpp
+++ b/src/routing/members.cpp
@@ -48,10 +48,6 @@
   return totals.read - std::min(totals.read, totals.answered);
 }
 
-bool by_choice(State state) {
-  return state == State::kSick || state == State::kMute || state == State::kSilent;
-}
-
 }  // namespace
 
 const char* name_of(State state) {
@@ -314,7 +310,7 @@
   log_(line);
   member.state = next;
   member.since = member.calm_since = now_;
-  member.kept_in = was_in && by_choice(next) && !may_be_out(member);
+  member.kept_in = was_in && has_failed(next) && !may_be_out(member);
   if (member.kept_in) log_("node " + member.node.name + " is kept in: too much of the fleet would be out");
   changed_ = true;
   switch (next) {
@@ -359,7 +355,7 @@
   double out = 0;
   for (const Member& one : members_) {
     all += one.node.capacity;
-    if (&one != &member && (one.called_out || (by_choice(one.state) && !one.kept_in))) out += one.node.capacity;
+    if (&one != &member && (one.called_out || (has_failed(one.state) && !one.kept_in))) out += one.node.capacity;
   }
   return out + member.node.capacity <= bounds_.most_out * all + 1e-9;
 }
--- a/src/routing/members.h
+++ b/src/routing/members.h
@@ -28,6 +28,10 @@
 };
 constexpr int kStates = 7;
 const char* name_of(State state);
+// Out by what is seen of it, and not by its own leave or by agreement.
+inline bool has_failed(State state) {
+  return state == State::kSick || state == State::kMute || state == State::kSilent;
+}
 
 // What is seen of this control service's own place in the network.
 enum class View {
--- a/src/xds/session_table.cpp
+++ b/src/xds/session_table.cpp
@@ -16,7 +16,7 @@
   Stream stream{.session = Session(form), .id = "", .zone = "", .peer = std::move(peer)};
   if (set_ && !gate_) {
     stream.session.offer(set_);
-    stream.offered = true;
+    stream.offered = Stream::Offered::kWhole;
   }
   streams_.emplace(++last_, std::move(stream));
   return last_;
@@ -24,23 +24,18 @@
 
 void SessionTable::gate(Gate gate, Nanos now) {
   gate_ = std::move(gate);
-  for (auto& [id, stream] : streams_) {
-    offer_first(stream, now);
-    // In touch again, though nothing new was published: what was closed for the moment is not left so.
-    if (!stream.closed || !set_ || now > gate_->fresh_until) continue;
-    stream.session.offer(set_);
-    stream.closed = false;
-  }
+  for (auto& [id, stream] : streams_) offer_through_gate(stream, now);
 }
 
-void SessionTable::offer_first(Stream& stream, Nanos now) {
-  if (stream.offered || !gate_ || !gate_->served.contains(stream.id)) return;
+// In touch again, though nothing new was published, what was closed for the moment is not left so.
+void SessionTable::offer_through_gate(Stream& stream, Nanos now) {
+  if (!gate_ || !gate_->served.contains(stream.id) || stream.offered == Stream::Offered::kWhole) return;
   bool fresh = now <= gate_->fresh_until;
+  if (!fresh && stream.offered == Stream::Offered::kClosed) return;
   const auto& set = fresh ? set_ : gate_->closed;
   if (!set) return;
   stream.session.offer(set);
-  stream.offered = true;
-  stream.closed = !fresh;
+  stream.offered = fresh ? Stream::Offered::kWhole : Stream::Offered::kClosed;
 }
 
 void SessionTable::close(StreamId id, Nanos now) {
@@ -61,10 +56,9 @@
 void SessionTable::publish(std::shared_ptr<const ResourceSet> set) {
   set_ = std::move(set);
   for (auto& [id, stream] : streams_) {
-    if (gate_ && !stream.offered) continue;  // its turn comes with the gate
+    if (gate_ && stream.offered == Stream::Offered::kNothing) continue;  // its turn comes with the gate
     stream.session.offer(set_);
-    stream.offered = true;
-    stream.closed = false;
+    stream.offered = Stream::Offered::kWhole;
   }
 }
 
@@ -79,7 +73,7 @@
     });
     if (twice) log_("proxy " + stream.id + " is here twice: each stream is served for itself");
   }
-  offer_first(stream, now);
+  offer_through_gate(stream, now);
   std::uint64_t refused = stream.session.nacks();
   Fault fault = stream.session.request(request, now);
   if (stream.session.nacks() > refused) {
--- a/src/xds/session_table.h
+++ b/src/xds/session_table.h
@@ -66,8 +66,7 @@
     std::string zone;
     std::string peer;
     bool counted = false;  // it has applied something since it came
-    bool offered = false;
-    bool closed = false;  // it was offered the set without an open shard
+    enum class Offered { kNothing, kClosed, kWhole } offered = Offered::kNothing;  // closed: no open shard
   };
   struct Gone {
     std::string id;
@@ -76,7 +75,7 @@
     StreamId last = 0;  // a stream that came later may be this proxy again
   };
 
-  void offer_first(Stream& stream, Nanos now);
+  void offer_through_gate(Stream& stream, Nanos now);
 
   std::map<StreamId, Stream> streams_;
   std::vector<Gone> gone_;
--- a/tests/releases_test.cpp
+++ b/tests/releases_test.cpp
@@ -1,6 +1,5 @@
 // Who may be out, drains and releases: the agreed rules, what may be out, the judge, and a fleet of fakes
 // that one instance leads.
-#include <google/protobuf/util/json_util.h>
 #include <gtest/gtest.h>
 
 #include <cmath>
@@ -548,9 +547,7 @@
   void say(const std::string& text) { commands[++last_command] = text; }
   void start(std::uint32_t version, agreement::Plan plan = plan_of(0)) {
     plan.set_version(version);
-    std::string told;
-    ASSERT_TRUE(google::protobuf::util::MessageToJsonString(plan, &told).ok());
-    say("release start " + told);
+    say(start_command(plan));
   }
   const agreement::Release& release() const { return state.outings().release(); }
   int with(std::uint32_t version) const {
