A node that a service names twice counts once

Cause: used_by = ("n1", "zone a") listed n1 twice (fleet.cpp, read_fleet), so that a drain of the service held the same step twice and the whole decision was refused. Change: each node is listed once. A story; without the change it counts two.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -190,13 +190,17 @@
   out.services = read_list<Service>(root, "services", kMostGroups, read_service);
   for (Service& service : out.services) {
     std::vector<std::string> nodes;
+    std::set<std::string> listed;  // one that is named twice counts once
     for (const std::string& used_by : service.used_by) {
-      std::size_t before = nodes.size();
+      bool known = false;
       for (const Node& node : out.nodes) {
-        if (node.name == used_by || "zone " + node.zone == used_by) nodes.push_back(node.name);
+        if (node.name != used_by && "zone " + node.zone != used_by) continue;
+        known = true;
+        if (listed.insert(node.name).second) nodes.push_back(node.name);
       }
-      if (nodes.size() == before)
-        root.bad("services", "'" + service.name + "' is used by '" + used_by + "', which is neither a node nor 'zone NAME'");
+      if (!known)
+        root.bad("services", "'" + service.name + "' is used by '" + used_by +
+                                 "', which is neither a node nor 'zone NAME'");
     }
     service.used_by = std::move(nodes);
   }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,8 +5,10 @@
 #include <rapidcheck/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <set>
 
 #include "report/frames.h"
 #include "settings/document.h"
@@ -62,6 +64,15 @@
   EXPECT_EQ(fleet.shards(), 256u);
 }
 
+TEST(FleetFile, ANodeThatAServiceNamesTwiceCountsOnce) {
+  Written file(std::string(kGood) +
+               "\nservices = ({ name = \"ledger\"; used_by = (\"n1\", \"zone default\", \"n1\"); });\n");
+  fleet::Fleet fleet = fleet::read_fleet(file.path());
+  std::vector<std::string> used_by = fleet.services[0].used_by;
+  EXPECT_EQ(std::count(used_by.begin(), used_by.end(), "n1"), 1);
+  EXPECT_EQ(std::set<std::string>(used_by.begin(), used_by.end()).size(), used_by.size());
+}
+
 TEST(FleetFile, ErrorsNameLineAndField) {
   EXPECT_EQ(error_of(with("127.0.0.1:4101", "localhost:4101")),
             "2: nodes[0].address: is not an address like 127.0.0.1:4100");
