Alarm is called a timer, the field's word, in code, tests and docs

Need: words of our own hid a standard concept. Behaviour unchanged; the log lines and settings of operators stay, and "alarm" of a release's health is another thing and keeps its name.

--- a/measure/agreement_rig.cpp
+++ b/measure/agreement_rig.cpp
@@ -282,7 +282,7 @@
 
   void wait_for(const std::function<bool()>& what, Nanos longest) {
     Nanos until = loop_.now() + longest;
-    net::Alarm look(loop_.base(), [&] { what() || loop_.now() > until ? loop_.stop() : look.set(5 * kMs); });
+    net::Timer look(loop_.base(), [&] { what() || loop_.now() > until ? loop_.stop() : look.set(5 * kMs); });
     look.set(0);
     loop_.run();
   }
@@ -915,7 +915,7 @@
   std::map<std::string, std::pair<std::string, Nanos>> ran_;
   std::multimap<Nanos, std::function<void()>> later_;
   std::vector<double> failovers_;
-  net::Alarm beat_;
+  net::Timer beat_;
   RigResult result_;
   Nanos begun_ = 0;
   Nanos next_key_ = 0;
--- a/measure/measure_slow.cpp
+++ b/measure/measure_slow.cpp
@@ -409,7 +409,7 @@
   net::Loop loop_;
   standin::Engine engine_;
   standin::Database database_;
-  net::Alarm tick_;
+  net::Timer tick_;
   std::string folder_;
   int port_ = 0;
   sockaddr_in to_{};
--- a/measure/measure_store.cpp
+++ b/measure/measure_store.cpp
@@ -327,7 +327,7 @@
       loop_.run();
       node.end(SIGKILL);
       // What was on its way still comes.
-      net::Alarm enough(loop_.base(), [this] { loop_.stop(); });
+      net::Timer enough(loop_.base(), [this] { loop_.stop(); });
       enough.set(20 * kMs);
       loop_.run();
       caller_.reset();
@@ -407,7 +407,7 @@
   net::Loop loop_;
   standin::Engine engine_;
   standin::Database database_;
-  net::Alarm tick_;
+  net::Timer tick_;
   int port_ = 0;
   int keys_ = 0;
   std::unique_ptr<Caller> caller_;
--- a/measure/rehearsal.cpp
+++ b/measure/rehearsal.cpp
@@ -196,7 +196,7 @@
   }
   void wait_for(const std::function<bool()>& what) {
     Nanos until = loop_.now() + 20 * kSecond;
-    net::Alarm look(loop_.base(), [&] { what() || loop_.now() > until ? loop_.stop() : look.set(2 * kMs); });
+    net::Timer look(loop_.base(), [&] { what() || loop_.now() > until ? loop_.stop() : look.set(2 * kMs); });
     look.set(0);
     loop_.run();
   }
@@ -387,7 +387,7 @@
   std::unique_ptr<standin::ControlFleet> control_;
   std::vector<std::unique_ptr<standin::AdsLink>> links_;
   std::vector<std::unique_ptr<standin::Proxy>> proxies_;
-  net::Alarm beat_;
+  net::Timer beat_;
   std::multimap<Nanos, std::function<void()>> script_;
   std::multimap<Nanos, std::function<void()>> repeats_;
   std::map<int, std::string> notes_;
--- a/src/control/agreed.h
+++ b/src/control/agreed.h
@@ -56,7 +56,7 @@
   std::unique_ptr<PeerLinks> links_;
   releases::Conductor conductor_;
   std::unique_ptr<agreement::Instance> instance_;
-  net::Alarm again_;
+  net::Timer again_;
 };
 
 }  // namespace myrtlecroft::control
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -89,7 +89,7 @@
   Door admin_;
   int discovery_port_ = 0;
   std::unique_ptr<grpc::Server> server_;
-  net::Alarm again_;
+  net::Timer again_;
   std::map<Door::Id, std::string> reporters_;          // connection -> node
   std::map<std::string, std::string> words_;           // node -> mode as it said last
   std::map<std::string, std::string> told_;            // node -> why its reports are refused, as logged last
--- a/src/control/door.h
+++ b/src/control/door.h
@@ -43,7 +43,7 @@
   std::size_t most_;
   Events events_;
   std::unique_ptr<evconnlistener, ListenerFreer> listener_;
-  net::Alarm accept_again_;
+  net::Timer accept_again_;
   std::map<Id, std::unique_ptr<Guest>> guests_;
   Id last_ = 0;
 };
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -60,14 +60,14 @@
   net::Log log(loop);
   control::Control control(loop, log, std::move(options));
   // Whoever leads hands on first, so that nobody waits for an election; but not for long.
-  net::Alarm last_moment(loop.base(), [&] { loop.stop(); });
+  net::Timer last_moment(loop.base(), [&] { loop.stop(); });
   auto leave = [&] {
     last_moment.set(kLongestHandOn);
     control.hand_on([&] { last_moment.set(0); });
   };
-  net::Alarm terminated(loop.base(), SIGTERM, leave);
-  net::Alarm interrupted(loop.base(), SIGINT, leave);
-  net::Alarm reload(loop.base(), SIGHUP, [&] { control.reload(); });
+  net::Timer terminated(loop.base(), SIGTERM, leave);
+  net::Timer interrupted(loop.base(), SIGINT, leave);
+  net::Timer reload(loop.base(), SIGHUP, [&] { control.reload(); });
   log.line("started; proxies at port " + std::to_string(control.discovery_port()) + ", reports at " +
            std::to_string(control.reports_port()) + ", admin at " + std::to_string(control.admin_port()));
   loop.run();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -108,7 +108,7 @@
     if (gate.fence.order()) reporter.acts_on(gate.fence.order()->epoch);
   }
   std::string how = "stopped";
-  net::Alarm last_moment(loop.base(), [&] {
+  net::Timer last_moment(loop.base(), [&] {
     how = "stopped at the last moment, " + std::to_string(front.connections()) + " connections left";
     loop.stop();
   });
@@ -118,11 +118,11 @@
   };
   reporter.on_order(heed);
   reporter.report_to(own_settings.reports);
-  net::Alarm terminated(loop.base(), SIGTERM, leave);
-  net::Alarm interrupted(loop.base(), SIGINT, leave);
+  net::Timer terminated(loop.base(), SIGTERM, leave);
+  net::Timer interrupted(loop.base(), SIGINT, leave);
   // New addresses are taken over under load. What is fixed for the life of a server is left as it is, and a
   // file that makes no sense changes nothing.
-  net::Alarm reload(loop.base(), SIGHUP, [&] {
+  net::Timer reload(loop.base(), SIGHUP, [&] {
     try {
       Launch read = read_launch(path);
       settings::NodeSettings own_read = settings::read_node_settings(settings_path);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -91,7 +91,7 @@
       what_(std::move(what)),
       events_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE)),
       most_unsent_(most_unsent),
-      end_alarm_(base, [this] { count_end(); }) {
+      end_timer_(base, [this] { count_end(); }) {
   if (!events_) throw std::bad_alloc();
   bufferevent_setcb(events_, on_read, on_write, on_event, this);
   bufferevent_set_max_single_read(events_, kReadAtOnce);
@@ -139,7 +139,7 @@
   if (std::exchange(ending_, true)) return;
   if (!parting_) reason_ = reason;
   bufferevent_disable(events_, EV_READ | EV_WRITE);
-  end_alarm_.set(0);
+  end_timer_.set(0);
 }
 
 std::size_t Connection::unsent() const { return evbuffer_get_length(bufferevent_get_output(events_)); }
@@ -163,7 +163,7 @@
   if (parting()) return;
   parting_ = true;
   reason_ = reason;
-  end_alarm_.set(kFlushing);
+  end_timer_.set(kFlushing);
   read_on();  // a close with something unread would be a reset, and take what was flushed with it
   if (unsent() == 0) flushed();
 }
@@ -171,7 +171,7 @@
 void Connection::flushed() {
   flushed_ = true;
   ::shutdown(bufferevent_getfd(events_), SHUT_WR);
-  end_alarm_.set(kParting);
+  end_timer_.set(kParting);
 }
 
 void Connection::count_end() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -108,7 +108,7 @@
   bufferevent* events_;
   InputBuffer input_;
   std::size_t most_unsent_;
-  Alarm end_alarm_;
+  Timer end_timer_;
   Reason reason_ = Reason::kDone;
   bool open_ = false;
   bool parting_ = false;
--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -87,7 +87,7 @@
  private:
   Database& database_;
   Connection connection_;
-  Alarm partial_;
+  Timer partial_;
   std::map<std::string, service::ServerExchange*> out_;
   std::set<std::string> carried_;  // a reply to these may still come
   bool retired_ = false;
--- a/src/net/database.h
+++ b/src/net/database.h
@@ -38,7 +38,7 @@
   service::Service* service_ = nullptr;
   std::vector<std::unique_ptr<Channel>> channels_;
   std::vector<service::ServerExchange*> unreachable_;  // to be told from the loop
-  Alarm tell_;
+  Timer tell_;
 };
 
 }  // namespace myrtlecroft::net
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -47,8 +47,8 @@
   std::unique_ptr<Connection> connection_;
   std::unique_ptr<Connection> next_;  // to where the engine has moved
   std::unique_ptr<Connection> old_;   // left behind, about to end
-  Alarm again_;
-  Alarm hand_over_;
+  Timer again_;
+  Timer hand_over_;
   Nanos wait_;
   bool paused_ = false;          // nothing is sent until the new link takes over
   bool skipping_ = false;        // within a line that is too long to keep
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -59,10 +59,10 @@
   service::Service* service_ = nullptr;
   std::function<void()> finished_;
   std::unique_ptr<evconnlistener, ListenerFreer> listener_;
-  Alarm accept_again_;
-  Alarm sweep_;
-  Alarm pace_;
-  Alarm finish_;
+  Timer accept_again_;
+  Timer sweep_;
+  Timer pace_;
+  Timer finish_;
   peers::Pacing pacing_;  // before its peers, which leave it when they go
   std::list<std::unique_ptr<BalancerConnection>> peers_;
   std::list<BalancerConnection*> idle_;   // nothing open, longest idle first
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -26,17 +26,17 @@
 
 }  // namespace
 
-Alarm::Alarm(event_base* base, std::function<void()> ring)
-    : ring_(std::move(ring)), event_(event_new(base, -1, 0, rang, this)) {}
+Timer::Timer(event_base* base, std::function<void()> expired)
+    : expired_(std::move(expired)), event_(event_new(base, -1, 0, rang, this)) {}
 
-Alarm::Alarm(event_base* base, int signal, std::function<void()> ring)
-    : ring_(std::move(ring)), event_(event_new(base, signal, EV_SIGNAL | EV_PERSIST, rang, this)) {
+Timer::Timer(event_base* base, int signal, std::function<void()> expired)
+    : expired_(std::move(expired)), event_(event_new(base, signal, EV_SIGNAL | EV_PERSIST, rang, this)) {
   event_add(event_.get(), nullptr);
 }
 
-void Alarm::rang(evutil_socket_t, short, void* self) { static_cast<Alarm*>(self)->ring_(); }
+void Timer::rang(evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->expired_(); }
 
-void Alarm::set(Nanos delay) {
+void Timer::set(Nanos delay) {
   Nanos micros = std::max<Nanos>(0, (delay + 999) / 1000);
   timeval wait{.tv_sec = static_cast<time_t>(micros / 1'000'000),
                .tv_usec = static_cast<suseconds_t>(micros % 1'000'000)};
@@ -68,7 +68,7 @@
   self->woken_();
 }
 
-Loop::Loop() : base_(new_base()), alarm_(base_.get(), [this] { rang(); }) {}
+Loop::Loop() : base_(new_base()), timer_(base_.get(), [this] { rang(); }) {}
 
 void Loop::run() { event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
 
@@ -78,15 +78,15 @@
 
 void Loop::wake_at(Nanos when) {
   wanted_ = when;
-  alarm_.set(when - now());
+  timer_.set(when - now());
 }
 
-// An alarm that is this late rings in a process that stood still. What came meanwhile is looked at first, or
+// A timer that is this late expires in a process that stood still. What came meanwhile is looked at first, or
 // the beat would take work for stalled whose end waits to be read. Harm: the beat is a turn of the loop
 // later.
 void Loop::rang() {
   waived_ = !waived_ && now() - wanted_ > kLate;
-  if (waived_) return alarm_.set(0);
+  if (waived_) return timer_.set(0);
   wake_();
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,4 +1,4 @@
-// The event loop, and the clock and alarm that it gives to the core.
+// The event loop, and the clock and timer that it gives to the core.
 #pragma once
 
 #include <event2/event.h>
@@ -16,19 +16,19 @@
 };
 
 // A timer of its own, or a signal, that calls what it was made with.
-class Alarm {
+class Timer {
  public:
-  Alarm(event_base* base, std::function<void()> ring);
-  Alarm(event_base* base, int signal, std::function<void()> ring);
-  Alarm(const Alarm&) = delete;
-  Alarm& operator=(const Alarm&) = delete;
+  Timer(event_base* base, std::function<void()> expired);
+  Timer(event_base* base, int signal, std::function<void()> expired);
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
   void set(Nanos delay);
   void clear() { event_del(event_.get()); }
   bool is_set() const { return event_pending(event_.get(), EV_TIMEOUT, nullptr); }
 
  private:
   static void rang(evutil_socket_t, short, void* self);
-  std::function<void()> ring_;
+  std::function<void()> expired_;
   std::unique_ptr<event, Freer> event_;
 };
 
@@ -66,7 +66,7 @@
 
   std::unique_ptr<event_base, Freer> base_;
   std::function<void()> wake_;
-  Alarm alarm_;
+  Timer timer_;
   Nanos wanted_ = 0;
   bool waived_ = false;
 };
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -24,7 +24,7 @@
   int socket_;
   bool good_ = false;
   int repeats_ = 0;
-  Alarm again_;
+  Timer again_;
 };
 
 }  // namespace myrtlecroft::net
--- a/src/net/reporter.cpp
+++ b/src/net/reporter.cpp
@@ -69,7 +69,7 @@
   sockaddr_in to_;
   Nanos wait_ = kFirstWait;
   std::unique_ptr<Connection> connection_;
-  Alarm again_;
+  Timer again_;
 };
 
 Reporter::Reporter(Loop& loop, service::LogPort& log, const service::Service& service, std::string name,
--- a/src/net/reporter.h
+++ b/src/net/reporter.h
@@ -46,7 +46,7 @@
   std::deque<Nanos> sent_;  // when the last reports were
   Ordered ordered_;
   std::vector<std::unique_ptr<Link>> links_;
-  Alarm again_;
+  Timer again_;
 };
 
 }  // namespace myrtlecroft::net
--- a/src/recovery/durable_runs.cpp
+++ b/src/recovery/durable_runs.cpp
@@ -126,7 +126,7 @@
   std::map<std::string, std::uint64_t> open_;  // intents on their way, by the attempt that wrote them
   std::uint64_t attempts_ = 0;
   std::string order_;
-  net::Alarm look_;
+  net::Timer look_;
   net::Wake wake_;
   store::Health health_ = store::Health::kWell;
   std::unique_ptr<store::Committer> committer_;  // last: its thread goes first
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -61,7 +61,7 @@
   for (ServerExchange* ex : released_) exchanges_.erase(ex->id);
   released_.clear();
   finish_when_empty();
-  set_alarm();
+  set_timer();
   inside_ = false;
 }
 
@@ -356,7 +356,7 @@
   ports_.front.finish();
 }
 
-void Service::set_alarm() {
+void Service::set_timer() {
   Nanos next = ring_at_ ? ring_at_ : now_ + 1000 * kMs;
   for (const ServerExchange* ex : calls_) next = std::min(next, ex->call_until);
   if (!probes_.empty()) next = std::min(next, probes_until_);
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -117,7 +117,7 @@
   void end_call(ServerExchange& ex, Outcome outcome);
   void end_calls_due();
   void finish_when_empty();
-  void set_alarm();
+  void set_timer();
   void answer_checks(bool good);
 
   Start start_;
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -65,7 +65,7 @@
   std::function<void(const RunSeen&)> seen_;
   control::Door door_;
   net::Connection* link_ = nullptr;
-  net::Alarm again_;
+  net::Timer again_;
   std::map<std::string, Run> runs_;
   std::uint64_t notices_ = 0;
   Nanos started_ = 0;
--- a/standin/proxy.cpp
+++ b/standin/proxy.cpp
@@ -106,7 +106,7 @@
   Proxy& proxy_;
   std::shared_ptr<Going> going_;
   net::Connection connection_;
-  net::Alarm late_;
+  net::Timer late_;
   std::string request_;
   std::string answer_;
   Nanos stay_away_ = 0;
--- a/standin/relay.cpp
+++ b/standin/relay.cpp
@@ -99,7 +99,7 @@
   Relay& relay;
   bufferevent* sides[2];
   std::deque<Waiting> waiting[2];
-  net::Alarm again;
+  net::Timer again;
 };
 
 Relay::Relay(net::Loop& loop, std::uint16_t to) : loop_(loop), to_(to) {
--- a/tests/control_harness.h
+++ b/tests/control_harness.h
@@ -110,7 +110,7 @@
     discovery_port_ = control_->discovery_port();
     reports_port_ = control_->reports_port();
     admin_port_ = control_->admin_port();
-    net::Alarm look(loop.base(), [&] {
+    net::Timer look(loop.base(), [&] {
       std::vector<std::function<void()>> todo;
       {
         std::lock_guard lock(mutex_);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -228,9 +228,9 @@
   }
   void pass(Nanos how_long) {
     Nanos end = time + how_long;
-    while (alarm <= end) {
-      time = std::max(time, alarm);
-      alarm = end + kSecond;
+    while (timer <= end) {
+      time = std::max(time, timer);
+      timer = end + kSecond;
       service.woke();
     }
     time = end;
@@ -238,7 +238,7 @@
   long count(const std::string& what) const { return std::count(did.begin(), did.end(), what); }
 
   Nanos now() const override { return time; }
-  void wake_at(Nanos when) override { alarm = when; }
+  void wake_at(Nanos when) override { timer = when; }
   void close_idle(Nanos) override {}
   void finish() override { did.push_back("finish"); }
   void attach(std::uint64_t last) override { did.push_back("attach " + std::to_string(last)); }
@@ -257,7 +257,7 @@
   void routine(const std::string&) override {}
 
   Nanos time = 100 * kSecond;
-  Nanos alarm = 0;
+  Nanos timer = 0;
   std::uint64_t last_token = 0;
   std::uint64_t test_token = 0;
   std::uint64_t notices = 0;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -341,11 +341,11 @@
   EXPECT_TRUE(until([&] { return world.count("run " + first) == 1; }));
 }
 
-// What comes while the alarms of a turn ring is not yet known to the loop.
-TEST_F(FrontStory, AnAlarmThatIsLateLetsTheSocketsGoFirst) {
+// What comes while the timers of a turn expire is not yet known to the loop.
+TEST_F(FrontStory, ATimerThatIsLateLetsTheSocketsGoFirst) {
   Plain peer = connected();
   long ran = -1;
-  Alarm earlier(loop.base(), [&] { peer.write(request(1, "/api/v2/read", first)); });
+  Timer earlier(loop.base(), [&] { peer.write(request(1, "/api/v2/read", first)); });
   loop.on_wake([&] { ran = world.count("run " + first); });
   earlier.set(0);
   loop.wake_at(loop.now() - 100 * kMs);
--- a/tests/reporter_test.cpp
+++ b/tests/reporter_test.cpp
@@ -70,7 +70,7 @@
   bool run_until(const std::function<bool()>& what) {
     Nanos limit = loop.now() + 10 * kSecond;
     bool held = false;
-    Alarm look(loop.base(), [&] {
+    Timer look(loop.base(), [&] {
       held = what();
       held || loop.now() > limit ? loop.stop() : look.set(kMs);
     });
