A server of a deployment that shares nothing below starts without a database

Cause: src/launch.cpp, read_launch, asked for the field "db" whatever the settings say; where nothing is shared below, none is told. Change: "db" is needed where the settings name a dependency; a call without one is told as unreachable. Test: StartStory.ADatabaseIsNamedOnlyWhereOneIsShared failed before (exit code 2).

--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -81,7 +81,6 @@
     launch.listen = address(fields, "listen");
     launch.engine = address(fields, "engine");
     launch.members = address(fields, "members");
-    launch.database = address(fields, "db");
     launch.start.seed = seed_of(fields);
     std::int64_t stop_ms = whole(fields, "stop_ms");
     if (stop_ms <= 0 || stop_ms > kLongestStop) bad(fields, "stop_ms", "is not a time from 1 ms to a day");
@@ -96,6 +95,9 @@
     launch.start.result_bytes = launch.memory / kResultShare;
     object settings = part(fields, "settings");
     launch.start.terms = read_terms(settings);
+    // Where nothing is shared below, there is none to name.
+    element named;
+    if (launch.start.terms.has_dependency || find(fields, "db", named)) launch.database = address(fields, "db");
     launch.start.gauge_names = read_gauge_names(settings);
     launch.limits = simdjson::minify(limits);
     launch.settings = simdjson::minify(settings);
--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -109,6 +109,7 @@
 }
 
 Database::Channel* Database::channel_for(const std::string& id) {
+  if (database_.sin_port == 0) return nullptr;  // none was named
   if (channels_.size() < most_connections_) {
     return channels_.emplace_back(std::make_unique<Channel>(*this)).get();
   }
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -78,6 +78,14 @@
   EXPECT_TRUE(has(address, ":2: members: is not an address: 'nowhere'")) << address.text;
 }
 
+// A server of a deployment that shares nothing below did not start: it is told of no database.
+TEST_F(StartStory, ADatabaseIsNamedOnlyWhereOneIsShared) {
+  good = with("\"db\":\"127.0.0.1:8900\",", "");
+  EXPECT_EQ(check(good).code, 0);
+  Said shared = check(with("\"nCores\":2", "\"nCores\":2,\"downstream\":\"one_for_all\""));
+  EXPECT_TRUE(has(shared, ":1: db: is missing")) << shared.text;
+}
+
 TEST_F(StartStory, CheckNamesTheLineWhereTextStopsToBeJson) {
   Said said = check(with("2000000000", "2.0.0"));
   EXPECT_EQ(said.code, 2);
