A silent engine link is made anew, and a membership socket that could not be made is made later

Seen, by tests on the version before: - An engine link that stays open and carries nothing was kept for good: nothing bounded the wait for gauges or HELLO (ALinkThatSaysNothingIsMadeAnew waited 4.5 s in vain). With nothing come for 3 s, gauges being asked for each 25 ms, it ends as "silent" and is made anew; what waits unread after a pause of this process counts as come. - Membership's socket was made once, at the start; without a descriptor then, no report ever left (membership.cpp, constructor). Not confirmed: a service that is down and comes back hears of us; the socket is not connected, so no ICMP error reaches a send. Its test stays.

--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -36,13 +36,16 @@
 
 }  // namespace
 
-EngineLink::EngineLink(Loop& loop, service::LogPort& log, const sockaddr_in& engine, std::size_t most_unsent)
+EngineLink::EngineLink(Loop& loop, service::LogPort& log, const sockaddr_in& engine, std::size_t most_unsent,
+                       Nanos silence)
     : loop_(loop),
       log_(log),
       engine_(engine),
       most_unsent_(most_unsent),
       again_(loop.base(), [this] { connect(); }),
       hand_over_(loop.base(), [this] { hand_over(); }),
+      silent_(loop.base(), [this] { fell_silent(); }),
+      silence_(silence),
       wait_(kFirstWait) {}
 
 void EngineLink::begin(service::EngineSession& session) {
@@ -54,6 +57,15 @@
 void EngineLink::connect() {
   (connection_ ? next_ : connection_) =
       std::make_unique<Connection>(loop_.base(), engine_, *this, log_, "engine link", most_unsent_);
+  heard();
+}
+
+// Guards against a link that stays open and carries nothing any more, which no reset ever ends. After a pause of
+// this process what came meanwhile still waits to be read. Harm: of an engine that stands still for longer, the
+// commands it had not read are in doubt.
+void EngineLink::fell_silent() {
+  if (connection_ && connection_->was_open() && connection_->unread()) return heard();
+  if (connection_) connection_->end(Reason::kSilent);
 }
 
 void EngineLink::move(const sockaddr_in& engine) {
@@ -70,6 +82,7 @@
   hand_over_.clear();
   paused_ = false;
   old_ = std::exchange(connection_, std::move(next_));
+  heard();
   old_->end(Reason::kMoved);
   session_->lost();
   opened(*connection_);
@@ -110,6 +123,7 @@
 }
 
 std::size_t EngineLink::came(Connection& connection, std::string_view bytes) {
+  if (&connection == connection_.get()) heard();
   std::size_t taken = 0;
   while (!connection.closing()) {
     std::size_t end = bytes.find('\n', taken);
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -11,10 +11,14 @@
 
 class EngineLink final : public service::EnginePort, public ConnectionOwner {
  public:
+  static constexpr Nanos kSilence = 3'000 * kMs;
+
   // Commands that the engine does not take wait here, `most_unsent` bytes of them; then the link is ended, and
   // attached again it is told anew what it doesn't know.
+  // A link on which nothing comes for `silence` is given up and made anew: gauges are asked for at every beat,
+  // and before its HELLO a new link costs nothing.
   EngineLink(Loop& loop, service::LogPort& log, const sockaddr_in& engine,
-             std::size_t most_unsent = Connection::kMostUnsentBelow);
+             std::size_t most_unsent = Connection::kMostUnsentBelow, Nanos silence = kSilence);
   void begin(service::EngineSession& session);
   // The engine is to be reached elsewhere from now on. The old link stays until the new one is open and all
   // that was sent on the old is known to have arrived.
@@ -36,6 +40,8 @@
  private:
   void connect();
   void hand_over();
+  void heard() { silent_.set(silence_); }
+  void fell_silent();
   bool take(std::string_view line);  // false: not a line of the protocol
   void send(const std::string& line);
 
@@ -49,6 +55,8 @@
   std::unique_ptr<Connection> old_;   // left behind, about to end
   Timer again_;
   Timer hand_over_;
+  Timer silent_;
+  Nanos silence_;
   Nanos wait_;
   bool paused_ = false;          // nothing is sent until the new link takes over
   bool skipping_ = false;        // within a line that is too long to keep
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -17,7 +17,6 @@
 Membership::Membership(Loop& loop, std::string name, const sockaddr_in& service)
     : name_(std::move(name)),
       service_(service),
-      socket_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       again_(loop.base(), [this] { send(); }) {}
 
 Membership::~Membership() {
@@ -36,7 +35,10 @@
   if (again_.is_set()) send();
 }
 
+// No word of a failed send reaches us in time to matter: the next report follows anyway. A socket that could
+// not be made is made then.
 void Membership::send() {
+  if (socket_ < 0) socket_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   std::string line = "HB " + name_ + (good_ ? " UP" : " OUT");
   ::sendto(socket_, line.data(), line.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr*>(&service_),
            sizeof service_);
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -21,7 +21,7 @@
 
   std::string name_;
   sockaddr_in service_;
-  int socket_;
+  int socket_ = -1;
   bool good_ = false;
   int repeats_ = 0;
   Timer again_;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -83,8 +83,7 @@
   EXPECT_TRUE(until([&] { return finished; }));
 }
 
-INSTANTIATE_TEST_SUITE_P(Front, AcceptErrors,
-                         testing::Values(EMFILE, ENFILE, ENOBUFS, EINTR, ECONNABORTED, EPROTO));
+INSTANTIATE_TEST_SUITE_P(Front, AcceptErrors, testing::Values(EMFILE, ENFILE, ENOBUFS, EINTR, ECONNABORTED, EPROTO));
 
 // A caller that came in after the last accept was reset by the close, its request written.
 TEST_F(EndingStory, NobodyIsLetInBetweenTheLastAcceptAndTheClose) {
@@ -202,12 +201,12 @@
   turn(5 * kMs);
   const std::string large(4'000, 'r');
   int sent = 0;
-  while (front.pacing().count(peers::State::kPaused) + front.pacing().count(peers::State::kBlocked) == 0 &&
-         sent < 200) {
+  while (front.pacing().count(peers::State::kPaused) + front.pacing().count(peers::State::kBlocked) == 0 && sent < 200) {
     std::string id = "00000000000" + std::to_string(10'000 + sent++);
     peer.write(request(sent % 32 + 1, "/api/v2/read", id));
-    ASSERT_TRUE(until(
-        [&] { return world.count("run " + id) == 1 || front.pacing().count(peers::State::kPaused) > 0; }));
+    ASSERT_TRUE(until([&] {
+      return world.count("run " + id) == 1 || front.pacing().count(peers::State::kPaused) > 0;
+    }));
     world.done(id, Outcome::kOk, large);
     turn(kMs);
   }
@@ -243,5 +242,76 @@
   EXPECT_GT(loop.now() - since, 300 * kMs);
 }
 
+// ---- Engine
+
+TEST_F(NetStory, ALinkThatSaysNothingIsMadeAnew) {
+  Plain listener;
+  EngineLink link(loop, *this, at_port(listener.listen()), 65'536, 200 * kMs);
+  service::EngineSession session(link, world.service);
+  link.begin(session);
+  Plain engine = accepted_by(listener);
+  ASSERT_TRUE(comes(engine, "ATTACH"));
+  engine.write("{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":5}\n");
+  ASSERT_TRUE(comes(engine, "STAT"));
+  // It speaks, if only now and then.
+  for (int i = 1; i <= 4; ++i) {
+    turn(120 * kMs);
+    engine.write("{\"cmd\":\"NOTE\",\"offset\":" + std::to_string(i) + "}\n");
+  }
+  turn(5 * kMs);
+  EXPECT_FALSE(logged("engine link ended"));
+  Plain again = accepted_by(listener);
+  EXPECT_TRUE(logged("engine link ended: silent"));
+  EXPECT_TRUE(comes(again, "{\"cmd\":\"ATTACH\",\"offset\":4}\n"));
+}
+
+// ---- Membership
+
+struct MembershipStory : NetStory {
+  MembershipStory() : service(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0)) { bind_again(0); }
+  ~MembershipStory() override { ::close(service); }
+  void bind_again(int at) {
+    sockaddr_in address = at_port(at);
+    socklen_t size = sizeof address;
+    EXPECT_EQ(::bind(service, reinterpret_cast<sockaddr*>(&address), size), 0);
+    ::getsockname(service, reinterpret_cast<sockaddr*>(&address), &size);
+    port = ntohs(address.sin_port);
+  }
+  bool reported(const std::string& line) {
+    return until([&] {
+      char bytes[64];
+      ssize_t got = ::recv(service, bytes, sizeof bytes, 0);
+      return got > 0 && std::string(bytes, static_cast<std::size_t>(got)) == line;
+    });
+  }
+  int service;
+  int port = 0;
+};
+
+TEST_F(MembershipStory, ASocketThatCouldNotBeMadeAtTheStartIsMadeLater) {
+  rlimit whole;
+  getrlimit(RLIMIT_NOFILE, &whole);
+  int highest = dup(0);
+  ::close(highest);
+  rlimit few = {.rlim_cur = static_cast<rlim_t>(highest), .rlim_max = whole.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &few);
+  Membership membership(loop, "n1", at_port(port));
+  membership.report(true);
+  setrlimit(RLIMIT_NOFILE, &whole);
+  EXPECT_TRUE(reported("HB n1 UP"));
+}
+
+// Each datagram to where nobody listens comes back as an error of the next send.
+TEST_F(MembershipStory, AServiceThatIsDownAndComesBackHearsOfUs) {
+  int where = port;
+  ::close(service);
+  Membership membership(loop, "n1", at_port(where));
+  membership.report(true);
+  turn(250 * kMs);
+  service = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  bind_again(where);
+  EXPECT_TRUE(reported("HB n1 UP"));
+}
+
 }  // namespace
 }  // namespace myrtlecroft::net
