The break of a shared database connection is not told of a call that was given up meanwhile

Cause: Channel::ended took all its calls aside and told one after the other. What the first one's exchange made of it could give up the call of the second and make it anew elsewhere; the second then heard of the old break as if it were the new call's, and the new call's channel went on naming an exchange that might be over. Reached only where calls share a connection (no more connections to be had). Test: ABreakIsNotToldOfACallThatWasGivenUpMeanwhile failed before (calls_lost 1 in place of 0).

--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -74,14 +74,22 @@
     return taken;
   }
 
-  // A connection that never came up carried nothing. One that breaks proves nothing.
+  // A connection that never came up carried nothing. One that breaks proves nothing. What one exchange makes of
+  // it may give up the call of another that is here too: that one is not told any more, as its reply would be
+  // taken for that of its next call.
   void ended(Connection& connection, Reason) override {
-    std::map<std::string, service::ServerExchange*> out = std::exchange(out_, {});
-    Database& database = database_;
     service::Reply reply = connection.was_open() ? service::Reply::kBroken : service::Reply::kUnreachable;
-    std::erase_if(database.channels_, [this](auto& each) { return each.get() == this; });
-    // From here on it is gone.
-    for (auto& [id, ex] : out) database.service_->replied(*ex, reply, "");
+    auto place = std::find_if(database_.channels_.begin(), database_.channels_.end(),
+                              [this](auto& each) { return each.get() == this; });
+    std::unique_ptr<Channel> own = std::move(*place);
+    database_.channels_.erase(place);
+    database_.ending_ = this;
+    while (!out_.empty()) {
+      service::ServerExchange& ex = *out_.begin()->second;
+      out_.erase(out_.begin());
+      database_.service_->replied(ex, reply, "");
+    }
+    database_.ending_ = nullptr;
   }
 
  private:
@@ -128,6 +136,7 @@
 
 void Database::give_up(service::ServerExchange& ex) {
   std::erase(unreachable_, &ex);
+  if (ending_) ending_->give_up(ex);
   for (auto& channel : channels_) channel->give_up(ex);
 }
 
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -265,6 +265,37 @@
   EXPECT_TRUE(comes(again, "{\"cmd\":\"ATTACH\",\"offset\":4}\n"));
 }
 
+// ---- Database
+
+// Two calls share a connection that breaks. What the first one's exchange makes of it gives up the second call
+// and makes it anew: the break is not the new call's.
+TEST_F(NetStory, ABreakIsNotToldOfACallThatWasGivenUpMeanwhile) {
+  Plain listener;
+  Database database(loop, *this, at_port(listener.listen()), 1);
+  database.begin(world.service);
+  world.engine_up();
+  service::ServerExchange* calling[2] = {};
+  for (int i = 0; i < 2; ++i) {
+    std::string id = i ? "b" : "a";
+    calling[i] = world.read(id, kSkipperGroup).ex;
+    world.need(id);
+    database.call(*calling[i], "x", 250 * kMs);
+  }
+  ASSERT_EQ(world.count("call a") + world.count("call b"), 2);
+  Plain shared = accepted_by(listener);
+  ASSERT_TRUE(comes(shared, "Q b"));
+  world.on_call = [&](service::ServerExchange& ex) {
+    if (&ex != calling[0]) return;
+    database.give_up(*calling[1]);
+    database.call(*calling[1], "again", 250 * kMs);
+  };
+  shared.reset();
+  Plain next = accepted_by(listener);
+  EXPECT_TRUE(comes(next, "again"));
+  EXPECT_EQ(calling[0]->calls_lost, 1);
+  EXPECT_EQ(calling[1]->calls_lost, 0);
+}
+
 // ---- Membership
 
 struct MembershipStory : NetStory {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -249,7 +249,10 @@
   void skip(std::string_view id, std::uint64_t) override { note("skip ", id); }
   void stat(std::uint64_t token) override { last_token = token; }
   void test(std::uint64_t token) override { did.push_back("test"), test_token = token; }
-  void call(service::ServerExchange& ex, std::string_view, Nanos) override { note("call ", ex.id); }
+  void call(service::ServerExchange& ex, std::string_view, Nanos) override {
+    note("call ", ex.id);
+    if (on_call) on_call(ex);
+  }
   void give_up(service::ServerExchange& ex) override { note("give up ", ex.id); }
   void report(bool good) override { healthy = good; }
   void line(const std::string&) override {}
@@ -264,6 +267,7 @@
   bool healthy = false;
   std::deque<Caller> callers;
   std::vector<std::string> did;
+  std::function<void(service::ServerExchange&)> on_call;
   service::Service service;
 
  private:
