A notice that comes before it can be heeded waits instead of killing the process

Cause: between exec and the signal's event, SIGTERM had its default effect (main.cpp): the server ended by signal, which counts as a crash, and SIGHUP was thrown away. Signals are blocked first and unblocked once they are watched; the log's thread keeps them blocked. Test: ANoticeAtTheStartIsHeeded holds the start on a named pipe, sends both signals and lets it go on; it failed before (killed after 4 ms). NoticesAndReloadsDuringADrainLoseNothing and AtTheLastMomentEverythingHasItsAnswer passed before too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -53,6 +53,13 @@
   return static_cast<std::uint8_t>(version);
 }
 
+void watch_signals(int how) {
+  sigset_t all;
+  sigemptyset(&all);
+  for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&all, signal);
+  pthread_sigmask(how, &all, nullptr);
+}
+
 // The exit code.
 int serve(const char* path, myrtlecroft::Launch launch, const char* settings_path) {
   using namespace myrtlecroft;
@@ -139,6 +146,7 @@
       log.line(std::string("reload failed, all stays as it was: ") + error.what());
     }
   });
+  watch_signals(SIG_UNBLOCK);
   loop.on_wake([&] { service.woke(); });
   front.serve(service, [&] { loop.stop(); });
   database.begin(service);
@@ -168,7 +176,7 @@
 
 int start(const char* path, const char* settings_path) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until it can be heeded
+  watch_signals(SIG_BLOCK);  // until they can be heeded: what comes before then waits
   try {
     return serve(path, myrtlecroft::read_launch(path), settings_path);
   } catch (const std::exception& error) {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -83,7 +83,8 @@
   EXPECT_TRUE(until([&] { return finished; }));
 }
 
-INSTANTIATE_TEST_SUITE_P(Front, AcceptErrors, testing::Values(EMFILE, ENFILE, ENOBUFS, EINTR, ECONNABORTED, EPROTO));
+INSTANTIATE_TEST_SUITE_P(Front, AcceptErrors,
+                         testing::Values(EMFILE, ENFILE, ENOBUFS, EINTR, ECONNABORTED, EPROTO));
 
 // A caller that came in after the last accept was reset by the close, its request written.
 TEST_F(EndingStory, NobodyIsLetInBetweenTheLastAcceptAndTheClose) {
@@ -201,12 +202,12 @@
   turn(5 * kMs);
   const std::string large(4'000, 'r');
   int sent = 0;
-  while (front.pacing().count(peers::State::kPaused) + front.pacing().count(peers::State::kBlocked) == 0 && sent < 200) {
+  while (front.pacing().count(peers::State::kPaused) + front.pacing().count(peers::State::kBlocked) == 0 &&
+         sent < 200) {
     std::string id = "00000000000" + std::to_string(10'000 + sent++);
     peer.write(request(sent % 32 + 1, "/api/v2/read", id));
-    ASSERT_TRUE(until([&] {
-      return world.count("run " + id) == 1 || front.pacing().count(peers::State::kPaused) > 0;
-    }));
+    ASSERT_TRUE(until(
+        [&] { return world.count("run " + id) == 1 || front.pacing().count(peers::State::kPaused) > 0; }));
     world.done(id, Outcome::kOk, large);
     turn(kMs);
   }
@@ -267,8 +268,8 @@
 
 // ---- Database
 
-// Two calls share a connection that breaks. What the first one's exchange makes of it gives up the second call
-// and makes it anew: the break is not the new call's.
+// Two calls share a connection that breaks. What the first one's exchange makes of it gives up the second
+// call and makes it anew: the break is not the new call's.
 TEST_F(NetStory, ABreakIsNotToldOfACallThatWasGivenUpMeanwhile) {
   Plain listener;
   Database database(loop, *this, at_port(listener.listen()), 1);
@@ -344,5 +345,80 @@
   EXPECT_TRUE(reported("HB n1 UP"));
 }
 
+// ---- The whole program
+
+// It is held at its start by a file that does not come to its end; the notice came before it was heeded, and
+// killed it.
+TEST_F(ProgramStory, ANoticeAtTheStartIsHeeded) {
+  std::string held = config + ".held";
+  ASSERT_EQ(mkfifo(held.c_str(), 0600), 0);
+  setenv("MYRTLECROFT_SETTINGS", held.c_str(), 1);
+  start();
+  unsetenv("MYRTLECROFT_SETTINGS");
+  int writer = -1;  // opens once the other end does: it is at that point then
+  ASSERT_TRUE(
+      until([&] { return writer >= 0 || (writer = open(held.c_str(), O_WRONLY | O_NONBLOCK)) >= 0; }));
+  kill(process, SIGTERM);
+  kill(process, SIGHUP);
+  const std::string settings = "version = 1;\n";
+  std::ofstream(held + ".whole") << settings;  // for the reload
+  EXPECT_EQ(std::rename((held + ".whole").c_str(), held.c_str()), 0);
+  EXPECT_EQ(::write(writer, settings.data(), settings.size()), static_cast<ssize_t>(settings.size()));
+  ::close(writer);
+  EXPECT_EQ(exit_code(), 0);
+  std::remove(held.c_str());
+}
+
+TEST_F(ProgramStory, NoticesAndReloadsDuringADrainLoseNothing) {
+  start();
+  Plain engine = engine_up();
+  ASSERT_FALSE(HasFailure());
+  Plain peer;
+  peer.connect(port);
+  usleep(20'000);
+  peer.write(FrontStory::request(1, "/api/v2/read", "00000000000000aa"));
+  EXPECT_TRUE(comes(engine, "RUN"));
+  kill(process, SIGTERM);
+  bool out = false;
+  EXPECT_TRUE(until([&] { return out = out || reported("HB n7 OUT"); }));
+  kill(process, SIGTERM);
+  kill(process, SIGINT);
+  Plain elsewhere;
+  write_config(elsewhere.listen(), 9);
+  kill(process, SIGHUP);
+  int moved = -1;
+  ASSERT_TRUE(until([&] { return moved >= 0 || (moved = elsewhere.accept()) >= 0; }));
+  Plain again(moved);
+  EXPECT_TRUE(comes(again, "ATTACH"));
+  again.write(
+      "{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":1}\n"
+      R"({"cmd":"DONE","offset":1,"req":"00000000000000aa","result":"success","payload":"QUJD"})"
+      "\n");
+  EXPECT_TRUE(comes(peer, "\r\n\r\nABC"));
+  EXPECT_TRUE(comes(peer, "(end)"));
+  peer.close();
+  EXPECT_EQ(exit_code(), 0);
+}
+
+// An engine that never answers, a caller that never closes: all is answered, and it ends before it is killed.
+TEST_F(ProgramStory, AtTheLastMomentEverythingHasItsAnswer) {
+  start();
+  Plain engine = engine_up();
+  ASSERT_FALSE(HasFailure());
+  Plain peer;
+  peer.connect(port);
+  usleep(20'000);
+  for (int i = 1; i <= 5; ++i)
+    peer.write(FrontStory::request(i, "/api/v2/read", "00000000000000a" + std::to_string(i)));
+  EXPECT_TRUE(comes(engine, "a2\""));
+  kill(process, SIGTERM);
+  std::string all;
+  EXPECT_TRUE(until([&] { return (all += peer.read()).ends_with("(end)"); }));
+  int answers = 0;
+  for (std::size_t at = 0; (at = all.find("Status: ", at)) != std::string::npos; ++at) ++answers;
+  EXPECT_EQ(answers, 5);
+  EXPECT_EQ(exit_code(), 0);
+}
+
 }  // namespace
 }  // namespace myrtlecroft::net
