--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= deploy/example.json
 SOURCES := $(shell git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' 'measure/*.cpp')
 
-.PHONY: setup build node test demo lint format run
+.PHONY: setup build node test sanitize demo lint format run
 
 setup:
 	deploy/setup.sh
@@ -20,7 +20,15 @@
 test: setup
 	cmake -B build/ci -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_TESTS=ON -DMYRTLECROFT_WERROR=ON
 	cmake --build build/ci -j4
-	ctest --test-dir build/ci --output-on-failure --no-tests=error
+	tests/run.sh build/ci
+
+# The node's tests under AddressSanitizer and UndefinedBehaviorSanitizer.
+SANITIZED := myrtlecroft_test myrtlecroft_endings_test myrtlecroft_durable_test myrtlecroft_store_test myrtlecroft_reporter_test
+sanitize: setup
+	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DMYRTLECROFT_TESTS=ON -DMYRTLECROFT_WERROR=OFF \
+	  "-DCMAKE_CXX_FLAGS=-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
+	cmake --build build/sanitize -j4 --target $(SANITIZED)
+	for each in $(SANITIZED); do build/sanitize/$$each --gtest_brief=1 || exit 1; done
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -192,6 +192,57 @@
   EXPECT_TRUE(all.ends_with("(end)"));
 }
 
+// Read after our close it could not be answered: whoever sent it takes it for one that never ran.
+TEST_F(EndingStory, WhatComesAfterOurCloseDoesNotRun) {
+  Plain peer = connected();
+  peer.write(health());
+  EXPECT_TRUE(comes(peer, "Status: 200"));
+  front.close_idle(20 * kMs);
+  EXPECT_TRUE(comes(peer, "(end)"));
+  peer.offer(request(1, "/api/v2/read", first));
+  turn(30 * kMs);
+  EXPECT_EQ(world.count("run " + first), 0);
+  EXPECT_EQ(error_of(peer), 0);
+}
+
+// A request that waits to be read in the turn in which its resting connection falls due.
+TEST_F(EndingStory, ARequestThatWaitsKeepsARestingConnection) {
+  Plain peer = connected();
+  peer.write(health());
+  EXPECT_TRUE(comes(peer, "Status: 200"));
+  Timer before(loop.base(), [&] { peer.write(health()); });
+  front.close_idle(50 * kMs);
+  before.set(49 * kMs + 500'000);
+  usleep(60'000);  // both are due in one turn
+  EXPECT_TRUE(comes(peer, "Status: 200"));
+}
+
+TEST_F(EndingStory, ManyRequestsInOneWriteAreAnsweredEachOnce) {
+  Plain peer = connected();
+  std::string all;
+  for (int i = 0; i < 300; ++i) all += health();
+  std::string got;
+  EXPECT_TRUE(until([&] {
+    if (!all.empty()) all.erase(0, peer.send_some(all));
+    return times(got += peer.read(), "Status: 200") >= 300;
+  }));
+  turn(10 * kMs);
+  EXPECT_EQ(times(got + peer.read(), "Status: 200"), 300);
+}
+
+TEST_F(EndingStory, ManyConnectionsAtOnceAreAnsweredEach) {
+  std::vector<Plain> peers;
+  for (int i = 0; i < 60; ++i) {
+    peers.push_back(connected_unturned());
+    peers.back().write(health(0));
+  }
+  for (Plain& peer : peers) {
+    std::string all = all_of(peer);
+    EXPECT_EQ(times(all, "Status: 200"), 1);
+    EXPECT_TRUE(all.ends_with("(end)"));
+  }
+}
+
 // ---- On the way out
 
 // Those whose reading is held back, since they leave answers unread, were closed over what they had sent.
@@ -266,8 +317,59 @@
   EXPECT_TRUE(comes(again, "{\"cmd\":\"ATTACH\",\"offset\":4}\n"));
 }
 
+// A notice that breaks off at any of its bytes is taken once, when it comes whole.
+TEST_F(NetStory, ANoticeThatBreaksOffAnywhereIsTakenOnce) {
+  Plain listener;
+  EngineLink link(loop, *this, at_port(listener.listen()));
+  link.begin(world.service.engine());
+  const std::string hello = "{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":5}\n";
+  std::string done =
+      "{\"cmd\":\"DONE\",\"offset\":1,\"req\":\"a\",\"result\":\"success\",\"payload\":\"QUJD\"}\n";
+  Plain engine;
+  auto attach = [&] {
+    engine = accepted_by(listener);
+    std::uint64_t asked = world.last_token;
+    engine.write(hello);
+    EXPECT_TRUE(until([&] { return world.last_token > asked; }));
+    world.answer_gauges();
+  };
+  attach();
+  Caller& caller = world.read("a", kReadGroup, "", 60 * kSecond);
+  for (std::size_t cut = 1; cut <= done.size(); ++cut) {
+    engine.write(done.substr(0, cut));
+    turn(kMs);
+    EXPECT_EQ(caller.answers.size(), cut == done.size() ? 1u : 0u);
+    cut % 2 ? engine.reset() : engine.close();
+    attach();
+  }
+  EXPECT_EQ(caller.only(), "completed ABC");
+}
+
 // ---- Database
 
+// A reply that breaks off at any of its bytes tells nothing, and its call may have run.
+TEST_F(NetStory, AReplyThatBreaksOffAnywhereIsNoReply) {
+  Plain listener;
+  Database database(loop, *this, at_port(listener.listen()), 4);
+  database.begin(world.service);
+  world.engine_up();
+  for (std::size_t cut = 0; cut <= 14; ++cut) {
+    std::string id = "a" + std::to_string(cut + 10);
+    const std::string reply = id + " ROWS 3\r\nnew\r\n";
+    service::ServerExchange& ex = *world.read(id, kSkipperGroup).ex;
+    world.need(id);
+    database.call(ex, "x", 250 * kMs);
+    Plain peer = accepted_by(listener);
+    ASSERT_TRUE(comes(peer, "Q " + id));
+    peer.write(reply.substr(0, cut));
+    turn(kMs);
+    cut % 2 ? peer.reset() : peer.close();
+    EXPECT_TRUE(until([&] { return ex.calls_lost == 1; })) << cut;
+    EXPECT_EQ(world.count("feed " + id + " new"), 0);
+    world.done(id);
+  }
+}
+
 // Two calls share a connection that breaks. What the first one's exchange makes of it gives up the second
 // call and makes it anew: the break is not the new call's.
 TEST_F(NetStory, ABreakIsNotToldOfACallThatWasGivenUpMeanwhile) {
@@ -400,6 +502,43 @@
   EXPECT_EQ(exit_code(), 0);
 }
 
+// Clients that rest fill the descriptors before the engine is up, and the membership service is down. The
+// engine, checks and exchanges get through all the same, and nothing that is accepted starves.
+TEST_F(ProgramStory, RestingClientsKeepNobodyOut) {
+  write_config(listener_port, free_port(), 64);
+  start();
+  std::vector<Plain> resting(120);
+  ASSERT_TRUE(until([&] {
+    Plain probe;
+    probe.connect(port);
+    usleep(1'000);
+    return probe.send_some("x") > 0;
+  }));
+  for (Plain& each : resting) each.connect(port);
+  usleep(50'000);
+  Plain engine = engine_up();
+  ASSERT_FALSE(HasFailure());
+  Plain peer;
+  peer.connect(port);
+  usleep(5'000);
+  peer.write(FrontStory::request(1, "/-/healthy", ""));
+  EXPECT_TRUE(comes(peer, "Status: 200"));
+  for (Plain& each : resting) each.offer(FrontStory::request(1, "/-/healthy", "").substr(0, 10));
+  peer.write(FrontStory::request(2, "/api/v2/read", "00000000000000aa"));
+  EXPECT_TRUE(comes(engine, "RUN"));
+  engine.write(R"({"cmd":"DONE","offset":1,"req":"00000000000000aa","result":"success","payload":"QUJD"})"
+               "\n");
+  EXPECT_TRUE(comes(peer, "\r\n\r\nABC"));
+  Plain next;
+  next.connect(port);
+  usleep(5'000);
+  next.write(FrontStory::request(1, "/-/healthy", ""));
+  EXPECT_TRUE(comes(next, "Status: 200"));
+  kill(process, SIGTERM);
+  next.close(), peer.close(), resting.clear();
+  EXPECT_EQ(exit_code(), 0);
+}
+
 // An engine that never answers, a caller that never closes: all is answered, and it ends before it is killed.
 TEST_F(ProgramStory, AtTheLastMomentEverythingHasItsAnswer) {
   start();
--- a/tests/net_story.h
+++ b/tests/net_story.h
@@ -33,6 +33,11 @@
     fcntl(socket_, F_SETFL, fcntl(socket_, F_GETFL) | O_NONBLOCK);
   }
   Plain(Plain&& other) noexcept : socket_(std::exchange(other.socket_, -1)) {}
+  Plain& operator=(Plain&& other) noexcept {
+    close();
+    socket_ = std::exchange(other.socket_, -1);
+    return *this;
+  }
   ~Plain() { close(); }
   void close() {
     if (socket_ >= 0) ::close(std::exchange(socket_, -1));
--- a/tests/program_story.h
+++ b/tests/program_story.h
@@ -23,12 +23,14 @@
     char path[] = "/tmp/myrtlecroft-XXXXXX";
     ::close(mkstemp(path));
     config = path;
-    write_config(listener.listen(), ntohs(address.sin_port));
+    listener_port = listener.listen();
+    write_config(listener_port, ntohs(address.sin_port));
   }
-  void write_config(int engine, int membership) const {
+  void write_config(int engine, int membership, int descriptors = 1024) const {
     auto at = [](int there) { return "\"127.0.0.1:" + std::to_string(there) + "\""; };
     std::ofstream(config)
-        << R"({"name":"n7","seed":"a1","stop_ms":1500,"limits":{"memory_mb":64},"listen":)" << at(port)
+        << R"({"name":"n7","seed":"a1","stop_ms":1500,"limits":{"memory_mb":64,"sockets":)" << descriptors
+        << R"(},"listen":)" << at(port)
         << ",\"engine\":" << at(engine) << ",\"db\":" << at(free_port()) << ",\"members\":" << at(membership)
         << R"(,"settings":{"classes":[{"name":"read","effect":"idempotent","gain":1,"goalTimeNs":2000000000,)"
         << R"("hardLimitNs":5000000000},{"name":"book","effect":"deduplicated","gain":1,"goalTimeNs":2000000000,)"
@@ -87,6 +89,7 @@
   }
 
   int port = free_port();
+  int listener_port = 0;
   int members;
   pid_t process = 0;
   std::string config;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -166,6 +166,73 @@
   EXPECT_EQ(world.count("run c"), 1);
 }
 
+// A window far shorter than the deadline. It counts from the accept stamp of the try that ran; a repeat at
+// any time within it, also in the very turn in which the key runs out, never runs, and is never denied.
+enum class First { kHeld, kRuns, kJustEnded, kFailed, kAbandoned };
+struct ShortWindow : testing::TestWithParam<First> {
+  static ServiceTerms terms() {
+    ServiceTerms terms = two_core_terms();
+    terms.groups[kWriteGroup].repeat_window = 300 * kMs;
+    return terms;
+  }
+  // Which of the tries so far were run.
+  static long runs(const FakeWorld& world, int tries) {
+    long all = 0;
+    for (int i = 0; i <= tries; ++i) all += world.count("run try" + std::to_string(i));
+    return all;
+  }
+};
+
+TEST_P(ShortWindow, NoRepeatRunsWithinIt) {
+  FakeWorld world(terms());
+  world.engine_up();
+  bool held = GetParam() == First::kHeld;
+  if (held) world.read("x"), world.read("y");  // all cores
+  Nanos stamp = world.time;
+  Nanos patience = GetParam() == First::kAbandoned ? 150 * kMs : 2 * kSecond;
+  world.read("try0", kWriteGroup, "key", patience);
+  ASSERT_EQ(world.count("run try0"), held ? 0 : 1);
+  if (GetParam() == First::kJustEnded) world.done("try0", Outcome::kOk, "first");
+  if (GetParam() == First::kFailed) world.done("try0", Outcome::kFailed, "");
+  int tries = 0;
+  Nanos last = stamp + terms().groups[kWriteGroup].repeat_window;
+  for (Nanos at = stamp + 10 * kMs; at <= last; at += 10 * kMs) {
+    world.pass(at - world.time);
+    Caller& repeat = world.read("try" + std::to_string(++tries), kWriteGroup, "key");
+    for (const std::string& answer : repeat.answers) EXPECT_NE(answer, "denied");
+    EXPECT_LE(runs(world, tries), 1);
+  }
+  if (held) world.done("x");
+  if (GetParam() != First::kJustEnded && GetParam() != First::kFailed)
+    world.done("try0", Outcome::kOk, "first");
+  for (std::size_t i = 0; i < world.callers.size(); ++i) {
+    if (i < (held ? 2u : 0u)) continue;
+    std::string wanted = GetParam() == First::kFailed ? "terminated" : "completed first";
+    if (GetParam() == First::kAbandoned && i == 0) wanted = "terminated";
+    EXPECT_EQ(world.callers[i].only(), wanted) << i;
+  }
+  EXPECT_EQ(runs(world, tries), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Keys, ShortWindow,
+                         testing::Values(First::kHeld, First::kRuns, First::kJustEnded, First::kFailed,
+                                         First::kAbandoned));
+
+// Where the first try runs on long past its window, a repeat does not run beside it.
+TEST(Keys, ARunOutlivesItsWindow) {
+  FakeWorld world(ShortWindow::terms());
+  world.engine_up();
+  world.read("a", kWriteGroup, "key", 100 * kMs);
+  world.pass(10 * kSecond);
+  Caller& repeat = world.read("b", kWriteGroup, "key");
+  EXPECT_EQ(world.count("run b"), 0);
+  world.done("a", Outcome::kOk, "late");
+  EXPECT_EQ(repeat.only(), "completed late");
+  world.pass(10 * kSecond);
+  world.read("c", kWriteGroup, "key");
+  EXPECT_EQ(world.count("run c"), 1);
+}
+
 TEST(Keys, AResultWithoutRoomIsNotKeptAndStillNothingRunsTwice) {
   FakeWorld world(two_core_terms(), 10);
   world.engine_up();
