--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -24,9 +24,16 @@
       cores_(cores),
       seen_(std::move(seen)),
       door_(loop, log, net::loopback(0), "engine", kConnections,
-            {.came = [this](control::Door::Id, net::Connection& connection,
-                            std::string_view bytes) { return came(connection, bytes); },
-             .ended = [this](control::Door::Id) { link_ = nullptr; }}),
+            {.came =
+                 [this](control::Door::Id id, net::Connection& connection, std::string_view bytes) {
+                   link_id_ = id;
+                   return came(connection, bytes);
+                 },
+             // A new link replaces the one before it, whose end may be seen later.
+             .ended =
+                 [this](control::Door::Id id) {
+                   if (id == link_id_) link_ = nullptr;
+                 }}),
       again_(loop.base(), [this] { end_due(); }),
       started_(loop.now()) {
   again_.set(kBeat);
@@ -60,10 +67,17 @@
 
 double Engine::crowd() const { return std::max(1.0, static_cast<double>(runs_.size() + 1) / cores_); }
 
+void Engine::hello() {
+  if (!attached_ || loop_.now() < up_at_) return;
+  attached_ = false;
+  tell("{\"cmd\":\"HELLO\",\"result\":\"" + std::string(cold() ? "booting" : "steady") + "\",\"elapsed_ms\":" +
+       std::to_string((loop_.now() - started_) / kMs) + "}");
+}
+
 void Engine::command(const net::EngineLine& line) {
   if (line.cmd == "ATTACH") {
-    tell("{\"cmd\":\"HELLO\",\"result\":\"" + std::string(cold() ? "booting" : "steady") +
-         "\",\"elapsed_ms\":" + std::to_string((loop_.now() - started_) / kMs) + "}");
+    attached_ = true;
+    hello();
   } else if (line.cmd == "RUN") {
     start(line.req, net::from_base64(line.payload).value_or(""));
   } else if (line.cmd == "FEED" || line.cmd == "SKIP") {
@@ -109,6 +123,7 @@
 
 void Engine::end_due() {
   if (!again_.is_set()) again_.set(kBeat);
+  hello();
   if (silent_ || behaviour_.silent) return;
   for (auto run = runs_.begin(); run != runs_.end();) {
     if (run->second.ends > loop_.now()) {
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -41,6 +41,8 @@
   void queue_for_cores() { free_at_.assign(static_cast<std::size_t>(cores_), 0); }
   void behave(Behaviour behaviour) { behaviour_ = std::move(behaviour); }
   bool cold() const { return loop_.now() < warm_at_; }
+  // Comes up then: links are taken before that, and get no word.
+  void up_at(Nanos when) { up_at_ = when; }
   // Another life of the node: what ran is gone, notices are numbered anew, and it is cold for a while.
   void restart(Nanos cold_for);
 
@@ -56,6 +58,7 @@
   void command(const net::EngineLine& line);
   void start(const std::string& id, const std::string& payload);
   void tell(const std::string& line);
+  void hello();
   void end_due();
   double crowd() const;
 
@@ -65,11 +68,14 @@
   std::function<void(const RunSeen&)> seen_;
   control::Door door_;
   net::Connection* link_ = nullptr;
+  control::Door::Id link_id_{};
   net::Timer again_;
   std::map<std::string, Run> runs_;
   std::uint64_t notices_ = 0;
   Nanos started_ = 0;
   Nanos warm_at_ = 0;
+  Nanos up_at_ = 0;
+  bool attached_ = false;  // and waits for our HELLO
   double slow_ = 1;
   bool silent_ = false;
   Behaviour behaviour_;
--- a/standin/node_config.h
+++ b/standin/node_config.h
@@ -13,6 +13,7 @@
   int port = 0;
   int engine = 0;
   int database = 0;
+  int members = 9;  // nobody listens there
   int memory_mb = 192;
   int descriptors = 1024;
   int servers = 1;
@@ -25,7 +26,7 @@
   auto at = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
   std::ofstream(path)
       << R"({"name":")" << config.name << R"(","listen":)" << at(config.port) << R"(,"engine":)" << at(config.engine)
-      << R"(,"members":"127.0.0.1:9","db":)" << at(config.database)
+      << R"(,"members":)" << at(config.members) << R"(,"db":)" << at(config.database)
       << R"(,"seed":"1f","stop_ms":2500,"limits":{"cores":1.0,"memory_mb":)" << config.memory_mb << R"(,"sockets":)"
       << config.descriptors << R"(},"settings":{"classes":[)" << config.groups << R"(],"familyInfo":{)" << config.family
       << R"(,"meters":["core_use","on_cores","heap_share","links"]},"limits":{"retryAfter":true,)"
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <random>
 
 #include "net/membership.h"
 #include "program_story.h"
@@ -294,6 +295,91 @@
   EXPECT_GT(loop.now() - since, 300 * kMs);
 }
 
+// ---- Cold
+
+// 25 senders, each with a connection of its own and none knowing of the others, at once and again after each
+// answer they get: together they never have more on the cores than a cold server survives, and who is sent
+// away is told to stay away while others wait.
+struct ColdStory : EndingStory, testing::WithParamInterface<unsigned> {
+  static constexpr int kSenders = 25;
+  static ServiceTerms terms() {
+    ServiceTerms terms = calling_much();
+    terms.cold = true;
+    terms.cold_from = 0.25;
+    terms.warm_within = 60 * kSecond;
+    return terms;
+  }
+  // What the settings let a cold server with these terms have on its cores at once.
+  static double survives() {
+    ServiceTerms its = terms();
+    return its.cores * (1 + (its.crowd_factor - 1) * its.cold_from);
+  }
+};
+
+TEST_P(ColdStory, ManySendersTogetherStayWithinWhatAColdServerSurvives) {
+  FakeWorld cold(terms(), 1'000);
+  cold.time = loop.now();
+  cold.engine_up();
+  int own = free_port();
+  Front door(loop, *this, at_port(own), 64, 4'000'000);
+  door.serve(cold.service, [] {});
+  std::mt19937 random(GetParam());
+  std::vector<Plain> senders(kSenders);
+  std::vector<std::string> got(kSenders);
+  for (Plain& each : senders) each.connect(own);
+  std::uint64_t traces = 0;
+  std::vector<std::string> running;
+  std::size_t seen = 0;
+  double most = 0;
+  int sent = 0;
+  int completed = 0;
+  bool advised = false;
+  int rounds = 0;
+  auto send = [&](int sender) {
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++traces));
+    senders[sender].write(request(static_cast<int>(traces % 30) + 1, "/api/v2/read", id));
+    ++sent;
+  };
+  std::vector<int> order(kSenders);
+  for (int i = 0; i < kSenders; ++i) order[i] = i;
+  std::shuffle(order.begin(), order.end(), random);
+  turn(10 * kMs);
+  for (int sender : order) {
+    for (int i = 0; i < 4; ++i) send(sender);
+  }
+  for (Nanos end = loop.now() + 1'500 * kMs; loop.now() < end; ++rounds) {
+    turn(kMs);
+    cold.pass(std::max<Nanos>(0, loop.now() - cold.time));
+    cold.service.engine().stats(cold.last_token, {1.0, static_cast<double>(running.size()), 0.1, 25});
+    for (; seen < cold.did.size(); ++seen) {
+      if (cold.did[seen].starts_with("run ")) running.push_back(cold.did[seen].substr(4));
+    }
+    most = std::max(most, static_cast<double>(running.size()));
+    if (!running.empty() && rounds % 20 == 0) {
+      std::size_t which = random() % running.size();
+      std::string id = running[which];
+      running.erase(running.begin() + static_cast<std::ptrdiff_t>(which));
+      cold.done(id);
+    }
+    for (int i = 0; i < kSenders; ++i) {
+      got[i] += senders[i].read();
+      int answers = times(got[i], "Status: ");
+      completed += times(got[i], "Status: 200");
+      advised = advised || got[i].find("Hold-Off-Ms") != std::string::npos;
+      if (answers == 0 || sent > 2'000) continue;
+      got[i].clear();
+      for (int n = 0; n < answers; ++n) send(i);
+    }
+  }
+  EXPECT_LE(most, survives());
+  EXPECT_GT(completed, 5);
+  EXPECT_GT(sent, 200);
+  EXPECT_TRUE(advised);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ColdStory, testing::Values(1u, 2u, 3u, 4u, 5u));
+
 // ---- Engine
 
 TEST_F(NetStory, ALinkThatSaysNothingIsMadeAnew) {
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 
+#include "../measure/ready.h"
 #include "../standin/proxy.h"
 #include "routing_fakes.h"
 #include "xds/resources.h"
@@ -64,5 +65,15 @@
   EXPECT_GT(owned["127.0.0.1:4102"], 250);
 }
 
+// All killed and started again together under load, the engines late and nobody at the membership service.
+TEST(Ready, NodesKilledTogetherAreReadyAgainAsSoonAsTheirEngines) {
+  measure::ReadyResult got = measure::play_ready({.engine_after = kSecond, .membership = false});
+  EXPECT_GE(got.ready_ms.size(), 27u);
+  EXPECT_LT(measure::ReadyResult::at(got.ready_ms, 0.9), 10'000);
+  EXPECT_LT(measure::ReadyResult::at(got.own_ms, 0.9), 1'000);
+  EXPECT_GT(got.completed, 0);
+  EXPECT_EQ(got.crashed, 0);
+}
+
 }  // namespace
 }  // namespace myrtlecroft::standin
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -86,6 +86,15 @@
   EXPECT_TRUE(has(shared, ":1: db: is missing")) << shared.text;
 }
 
+// Our own deployments, as a server of each was told of it (deploy/sites).
+TEST_F(StartStory, TheSettingsOfOurOwnDeploymentsAreTaken) {
+  for (const char* name : {"harrow-ledger", "tarn-feed"}) {
+    Said said = run("--check", MYRTLECROFT_SITES "/" + std::string(name) + "/server.json");
+    EXPECT_EQ(said.code, 0) << said.text;
+    EXPECT_TRUE(has(said, ": good")) << said.text;
+  }
+}
+
 TEST_F(StartStory, CheckNamesTheLineWhereTextStopsToBeJson) {
   Said said = check(with("2000000000", "2.0.0"));
   EXPECT_EQ(said.code, 2);
