--- a/measure/ready.cpp
+++ b/measure/ready.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <deque>
 #include <filesystem>
+#include <fstream>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,9 @@
 constexpr Nanos kLongest = 20 * kSecond;  // that a node is waited for
 constexpr Nanos kTick = 5 * kMs;
 constexpr Nanos kPatience = 2 * kSecond;  // of callers
+constexpr int kFirstPort = 11'000;
+constexpr int kPortBlock = 50;
+constexpr int kPortBlocks = 400;
 constexpr int kCores = 4;
 constexpr int kWorkMs = 4;
 
@@ -65,14 +69,15 @@
   Nanos ready_at = 0;
 };
 
-int free_port() {
-  sockaddr_in address = net::loopback(0);
-  socklen_t size = sizeof address;
-  int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return ntohs(address.sin_port);
+// Below the ports that callers are given for their own ends: one of these would keep a node from its address.
+int free_port(int& next) {
+  for (;; ++next) {
+    sockaddr_in address = net::loopback(static_cast<std::uint16_t>(next));
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(socket);
+    if (free) return next++;
+  }
 }
 
 class Play {
@@ -90,6 +95,7 @@
     ::getsockname(members_, reinterpret_cast<sockaddr*>(&address), &size);
     int members = ntohs(address.sin_port);
     if (!terms.membership) ::close(std::exchange(members_, -1));
+    int next_port = kFirstPort + static_cast<int>(::getpid()) % kPortBlocks * kPortBlock;
     for (int i = 0; i < terms.nodes; ++i) {
       Node& node = nodes_.emplace_back();
       std::string name = "n" + std::to_string(i);
@@ -97,7 +103,7 @@
           std::make_unique<standin::Engine>(loop_, log_, name, kCores, [](const standin::RunSeen&) {});
       node.config = folder_ + "/" + name + ".json";
       node.log = folder_ + "/" + name + ".log";
-      node.port = free_port();
+      node.port = free_port(next_port);
       standin::write_node_config(
           node.config,
           {.name = name,
@@ -122,7 +128,11 @@
     tick_.set(0);
     loop_.run();
     for (Node& node : nodes_) {
-      result_.crashed += node.child.is_over();
+      if (node.child.is_over()) {
+        ++result_.crashed;
+        std::ifstream log(node.log);
+        for (std::string line; std::getline(log, line);) result_.last_words = line;
+      }
       if (!node.ready_at) continue;
       double took = static_cast<double>(node.ready_at - node.exec_at) / 1e6;
       result_.ready_ms.push_back(took);
--- a/measure/ready.h
+++ b/measure/ready.h
@@ -2,6 +2,7 @@
 // exec to the first good health check.
 #pragma once
 
+#include <string>
 #include <vector>
 
 #include "myrtlecroft/terms.h"
@@ -19,6 +20,7 @@
   std::vector<double> ready_ms;  // of each node that was, sorted
   std::vector<double> own_ms;    // the same without the wait for its engine: what the program itself adds
   int crashed = 0;               // ended by themselves
+  std::string last_words;        // of one of these
   int completed = 0;
   // A quantile; of no nodes the longest wait there was.
   static double at(const std::vector<double>& sorted, double part);
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -72,7 +72,7 @@
   EXPECT_LT(measure::ReadyResult::at(got.ready_ms, 0.9), 10'000);
   EXPECT_LT(measure::ReadyResult::at(got.own_ms, 0.9), 1'000);
   EXPECT_GT(got.completed, 0);
-  EXPECT_EQ(got.crashed, 0);
+  EXPECT_EQ(got.crashed, 0) << got.last_words;
 }
 
 }  // namespace
