What crosses our half-close ends the lingering 100 ms later, not when its caller gives up

A request that crosses our end is drained, and its sender waits for our close before it asks again; that close came with 100 ms before, and now only when the earlier answer's caller would give up, or with the stop (connection.cpp, half_close). The story WhatCrossesOurCloseIsSettledSoon plays that crossing in a drain and fails without the line in on_read.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -210,6 +210,10 @@
   evbuffer* from = bufferevent_get_input(events);
   self->bytes_in_ += evbuffer_get_length(from);
   if (self->closing()) {
+    // What crossed our close is never answered, and its sender may wait for us before it asks again
+    // elsewhere.
+    if (self->stage_ == Stage::kLingering && std::exchange(self->linger_within_, 0) > 0)
+      self->timer_.set(kLeastLinger);
     evbuffer_drain(from, evbuffer_get_length(from));
     return;
   }
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -145,6 +145,22 @@
   EXPECT_TRUE(until([&] { return front.connections() == 0; }));
 }
 
+// Its sender waits for us before it asks again: with the answer before it owed for a minute, it waited up to
+// the stop.
+TEST_F(EndingStory, WhatCrossesOurCloseIsSettledSoon) {
+  Plain peer = connected();
+  peer.write(request(1, "/api/v2/read", first));
+  ASSERT_TRUE(until([&] { return world.count("run " + first) == 1; }));
+  front.finish();
+  world.done(first);
+  EXPECT_TRUE(comes(peer, "(end)"));
+  Nanos since = loop.now();
+  peer.offer(request(2, "/api/v2/read", second));
+  EXPECT_TRUE(until([&] { return finished; }));
+  EXPECT_LT(loop.now() - since, kSecond);
+  EXPECT_EQ(world.count("run " + second), 0);
+}
+
 TEST_F(EndingStory, WhatCameBeforeBytesThatMakeNoSenseIsAnswered) {
   Plain peer = connected();
   peer.write(request(1, "/api/v2/read", first));
