--- a/measure/ready.cpp
+++ b/measure/ready.cpp
@@ -9,10 +9,12 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "../standin/cgi_client.h"
 #include "../standin/child.h"
+#include "../standin/control_fleet.h"
 #include "../standin/engine.h"
 #include "../standin/no_log.h"
 #include "../standin/node_config.h"
@@ -26,9 +28,6 @@
 constexpr Nanos kLongest = 20 * kSecond;  // that a node is waited for
 constexpr Nanos kTick = 5 * kMs;
 constexpr Nanos kPatience = 2 * kSecond;  // of callers
-constexpr int kFirstPort = 11'000;
-constexpr int kPortBlock = 50;
-constexpr int kPortBlocks = 400;
 constexpr int kCores = 4;
 constexpr int kWorkMs = 4;
 
@@ -69,17 +68,6 @@
   Nanos ready_at = 0;
 };
 
-// Below the ports that callers are given for their own ends: one of these would keep a node from its address.
-int free_port(int& next) {
-  for (;; ++next) {
-    sockaddr_in address = net::loopback(static_cast<std::uint16_t>(next));
-    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-    ::close(socket);
-    if (free) return next++;
-  }
-}
-
 class Play {
  public:
   explicit Play(const ReadyTerms& terms)
@@ -95,7 +83,6 @@
     ::getsockname(members_, reinterpret_cast<sockaddr*>(&address), &size);
     int members = ntohs(address.sin_port);
     if (!terms.membership) ::close(std::exchange(members_, -1));
-    int next_port = kFirstPort + static_cast<int>(::getpid()) % kPortBlocks * kPortBlock;
     for (int i = 0; i < terms.nodes; ++i) {
       Node& node = nodes_.emplace_back();
       std::string name = "n" + std::to_string(i);
@@ -103,7 +90,7 @@
           std::make_unique<standin::Engine>(loop_, log_, name, kCores, [](const standin::RunSeen&) {});
       node.config = folder_ + "/" + name + ".json";
       node.log = folder_ + "/" + name + ".log";
-      node.port = free_port(next_port);
+      node.port = standin::free_port(taken_);
       standin::write_node_config(
           node.config,
           {.name = name,
@@ -202,6 +189,7 @@
   net::Timer tick_;
   int members_;
   std::string folder_;
+  std::set<int> taken_;
   std::deque<Node> nodes_;
   std::deque<std::unique_ptr<Ask>> load_;
   std::uint64_t traces_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -53,7 +53,7 @@
   return static_cast<std::uint8_t>(version);
 }
 
-void watch_signals(int how) {
+void mask_signals(int how) {
   sigset_t all;
   sigemptyset(&all);
   for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&all, signal);
@@ -146,7 +146,7 @@
       log.line(std::string("reload failed, all stays as it was: ") + error.what());
     }
   });
-  watch_signals(SIG_UNBLOCK);
+  mask_signals(SIG_UNBLOCK);
   loop.on_wake([&] { service.woke(); });
   front.serve(service, [&] { loop.stop(); });
   database.begin(service);
@@ -176,7 +176,7 @@
 
 int start(const char* path, const char* settings_path) {
   std::signal(SIGPIPE, SIG_IGN);
-  watch_signals(SIG_BLOCK);  // until they can be heeded: what comes before then waits
+  mask_signals(SIG_BLOCK);  // until they can be heeded: what comes before then waits
   try {
     return serve(path, myrtlecroft::read_launch(path), settings_path);
   } catch (const std::exception& error) {
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -143,9 +143,9 @@
     taking_ = true;
     std::size_t taken = reader_.take(bytes, malformed);
     taking_ = false;
-    left_over_ = taken < bytes.size();
     if (malformed) ignore(Reason::kMalformed);
     if (deaf_) taken = bytes.size();
+    left_over_ = taken < bytes.size();
     close_if_settled();
     front_.place(*this);
     return taken;
@@ -378,9 +378,11 @@
              std::size_t most_bytes, const peers::PacingTerms& terms)
     : loop_(loop),
       log_(log),
-      accept_again_(
-          loop.base(),
-          [this] { finishing_ ? drain() : static_cast<void>(evconnlistener_enable(listener_.get())); }),
+      accept_again_(loop.base(),
+                    [this] {
+                      if (finishing_) return drain();
+                      evconnlistener_enable(listener_.get());
+                    }),
       sweep_(loop.base(), [this] { sweep(); }),
       pace_(loop.base(), [this] { pace(); }),
       finish_(loop.base(), [this] { finished_(); }),
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -1,10 +1,10 @@
 // What ends while something is still owed: the crossings are forced, by a hook in accept4 or by holding bytes
 // back. docs/endings.md has a row for each.
-#include <sys/resource.h>
 #include <sys/syscall.h>
 
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <random>
 
 #include "net/membership.h"
@@ -59,11 +59,6 @@
     });
     return all.ends_with("(end)") ? all : all + "(reset)";
   }
-  static int times(const std::string& all, const std::string& part) {
-    int n = 0;
-    for (std::size_t at = 0; (at = all.find(part, at)) != std::string::npos; ++at) ++n;
-    return n;
-  }
 };
 
 // ---- The listener
@@ -116,16 +111,12 @@
     EXPECT_TRUE(comes(resting.back(), "Status: 200"));
   }
   Plain next;
-  rlimit whole;
-  getrlimit(RLIMIT_NOFILE, &whole);
-  int highest = dup(0);
-  ::close(highest);
-  rlimit few = {.rlim_cur = static_cast<rlim_t>(highest), .rlim_max = whole.rlim_max};
-  setrlimit(RLIMIT_NOFILE, &few);
-  next.connect(port);
-  next.write(health());
-  EXPECT_TRUE(comes(next, "Status: 200"));
-  setrlimit(RLIMIT_NOFILE, &whole);
+  {
+    NoDescriptors none;
+    next.connect(port);
+    next.write(health());
+    EXPECT_TRUE(comes(next, "Status: 200"));
+  }
   EXPECT_TRUE(logged("ended: crowded"));
 }
 
@@ -526,15 +517,10 @@
 };
 
 TEST_F(MembershipStory, ASocketThatCouldNotBeMadeAtTheStartIsMadeLater) {
-  rlimit whole;
-  getrlimit(RLIMIT_NOFILE, &whole);
-  int highest = dup(0);
-  ::close(highest);
-  rlimit few = {.rlim_cur = static_cast<rlim_t>(highest), .rlim_max = whole.rlim_max};
-  setrlimit(RLIMIT_NOFILE, &few);
+  std::optional<NoDescriptors> none(std::in_place);
   Membership membership(loop, "n1", at_port(port));
   membership.report(true);
-  setrlimit(RLIMIT_NOFILE, &whole);
+  none.reset();
   EXPECT_TRUE(reported("HB n1 UP"));
 }
 
@@ -578,9 +564,7 @@
   start();
   Plain engine = engine_up();
   ASSERT_FALSE(HasFailure());
-  Plain peer;
-  peer.connect(port);
-  usleep(20'000);
+  Plain peer = connected();
   peer.write(FrontStory::request(1, "/api/v2/read", "00000000000000aa"));
   EXPECT_TRUE(comes(engine, "RUN"));
   kill(process, SIGTERM);
@@ -591,14 +575,10 @@
   Plain elsewhere;
   write_config(elsewhere.listen(), 9);
   kill(process, SIGHUP);
-  int moved = -1;
-  ASSERT_TRUE(until([&] { return moved >= 0 || (moved = elsewhere.accept()) >= 0; }));
-  Plain again(moved);
+  Plain again = accepted_by(elsewhere);
+  ASSERT_FALSE(HasFailure());
   EXPECT_TRUE(comes(again, "ATTACH"));
-  again.write(
-      "{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":1}\n"
-      R"({"cmd":"DONE","offset":1,"req":"00000000000000aa","result":"success","payload":"QUJD"})"
-      "\n");
+  again.write(kHello + done_line(1, "00000000000000aa"));
   EXPECT_TRUE(comes(peer, "\r\n\r\nABC"));
   EXPECT_TRUE(comes(peer, "(end)"));
   peer.close();
@@ -621,20 +601,15 @@
   usleep(50'000);
   Plain engine = engine_up();
   ASSERT_FALSE(HasFailure());
-  Plain peer;
-  peer.connect(port);
-  usleep(5'000);
+  Plain peer = connected();
   peer.write(FrontStory::request(1, "/-/healthy", ""));
   EXPECT_TRUE(comes(peer, "Status: 200"));
   for (Plain& each : resting) each.offer(FrontStory::request(1, "/-/healthy", "").substr(0, 10));
   peer.write(FrontStory::request(2, "/api/v2/read", "00000000000000aa"));
   EXPECT_TRUE(comes(engine, "RUN"));
-  engine.write(R"({"cmd":"DONE","offset":1,"req":"00000000000000aa","result":"success","payload":"QUJD"})"
-               "\n");
+  engine.write(done_line(1, "00000000000000aa"));
   EXPECT_TRUE(comes(peer, "\r\n\r\nABC"));
-  Plain next;
-  next.connect(port);
-  usleep(5'000);
+  Plain next = connected();
   next.write(FrontStory::request(1, "/-/healthy", ""));
   EXPECT_TRUE(comes(next, "Status: 200"));
   kill(process, SIGTERM);
@@ -647,18 +622,14 @@
   start();
   Plain engine = engine_up();
   ASSERT_FALSE(HasFailure());
-  Plain peer;
-  peer.connect(port);
-  usleep(20'000);
+  Plain peer = connected();
   for (int i = 1; i <= 5; ++i)
     peer.write(FrontStory::request(i, "/api/v2/read", "00000000000000a" + std::to_string(i)));
   EXPECT_TRUE(comes(engine, "a2\""));
   kill(process, SIGTERM);
   std::string all;
   EXPECT_TRUE(until([&] { return (all += peer.read()).ends_with("(end)"); }));
-  int answers = 0;
-  for (std::size_t at = 0; (at = all.find("Status: ", at)) != std::string::npos; ++at) ++answers;
-  EXPECT_EQ(answers, 5);
+  EXPECT_EQ(times(all, "Status: "), 5);
   EXPECT_EQ(exit_code(), 0);
 }
 
--- a/tests/net_story.h
+++ b/tests/net_story.h
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -87,6 +88,30 @@
   int socket_;
 };
 
+// While it stands, this process gets no further descriptor.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &whole_);
+    int highest = dup(0);
+    ::close(highest);
+    rlimit few = {.rlim_cur = static_cast<rlim_t>(highest), .rlim_max = whole_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &few);
+  }
+  ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &whole_); }
+  NoDescriptors(const NoDescriptors&) = delete;
+  NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+ private:
+  rlimit whole_;
+};
+
+inline int times(const std::string& all, const std::string& part) {
+  int n = 0;
+  for (std::size_t at = 0; (at = all.find(part, at)) != std::string::npos; ++at) ++n;
+  return n;
+}
+
 inline int free_port() { return Plain().listen(); }
 
 inline ServiceTerms calling_much() {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,5 +1,4 @@
 // The adapters on loopback sockets.
-#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include <csignal>
@@ -161,15 +160,11 @@
 TEST_F(FrontStory, OutOfDescriptorsItWaitsAndThenAcceptsAgain) {
   std::vector<Plain> waiting;
   for (int i = 0; i < 8; ++i) waiting.emplace_back();
-  rlimit whole;
-  getrlimit(RLIMIT_NOFILE, &whole);
-  int highest = dup(0);
-  ::close(highest);
-  rlimit few = {.rlim_cur = static_cast<rlim_t>(highest), .rlim_max = whole.rlim_max};
-  setrlimit(RLIMIT_NOFILE, &few);
-  for (Plain& peer : waiting) peer.connect(port);
-  turn(250 * kMs);
-  setrlimit(RLIMIT_NOFILE, &whole);
+  {
+    NoDescriptors none;
+    for (Plain& peer : waiting) peer.connect(port);
+    turn(250 * kMs);
+  }
   EXPECT_TRUE(logged("accept failed"));
   EXPECT_LT(lines.size(), 10u);  // it did not spin
   waiting.back().write(request(1, "/-/healthy", ""));
@@ -493,9 +488,7 @@
   ASSERT_FALSE(HasFailure());
   bool up = false;
   EXPECT_TRUE(until([&] { return up = up || reported("HB n7 UP"); }));
-  Plain peer;
-  peer.connect(port);
-  usleep(20'000);
+  Plain peer = connected();
   const std::string id = "00000000000000aa";
   peer.write(FrontStory::request(1, "/-/healthy", ""));
   EXPECT_TRUE(comes(peer, "Status: 200"));
@@ -508,8 +501,7 @@
   usleep(300'000);
   peer.write(FrontStory::request(3, "/api/v2/read", "00000000000000bb"));
   EXPECT_TRUE(comes(peer, "Status: 503"));
-  engine.write(R"({"cmd":"DONE","offset":1,"req":"00000000000000aa","result":"success","payload":"QUJD"})"
-               "\n");
+  engine.write(done_line(1, id));
   EXPECT_TRUE(comes(peer, "\r\n\r\nABC"));
   EXPECT_TRUE(comes(peer, "(end)"));
   peer.close();
@@ -529,9 +521,8 @@
   Plain elsewhere;
   write_config(elsewhere.listen(), 9);
   kill(process, SIGHUP);
-  int moved = -1;
-  ASSERT_TRUE(until([&] { return moved >= 0 || (moved = elsewhere.accept()) >= 0; }));
-  Plain again(moved);
+  Plain again = accepted_by(elsewhere);
+  ASSERT_FALSE(HasFailure());
   EXPECT_TRUE(comes(again, "ATTACH"));
 }
 
--- a/tests/program_story.h
+++ b/tests/program_story.h
@@ -52,16 +52,28 @@
     _exit(127);
   }
   // The engine's end of the link, before its first word.
-  Plain linked() {
+  Plain linked() { return accepted_by(listener); }
+  static Plain accepted_by(Plain& at) {
     int socket = -1;
-    EXPECT_TRUE(until([&] { return socket >= 0 || (socket = listener.accept()) >= 0; }));
+    EXPECT_TRUE(until([&] { return socket >= 0 || (socket = at.accept()) >= 0; }));
     return Plain(socket);
   }
+  Plain connected() const {
+    Plain peer;
+    peer.connect(port);
+    usleep(20'000);
+    return peer;
+  }
+  // The engine's word that a run is over, with "ABC".
+  static std::string done_line(int number, const std::string& id) {
+    return "{\"cmd\":\"DONE\",\"offset\":" + std::to_string(number) + ",\"req\":\"" + id +
+           "\",\"result\":\"success\",\"payload\":\"QUJD\"}\n";
+  }
   // The same with the engine up.
   Plain engine_up() {
     Plain engine = linked();
     EXPECT_TRUE(comes(engine, "ATTACH"));
-    engine.write("{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":1}\n");
+    engine.write(kHello);
     EXPECT_TRUE(comes(engine, "{\"cmd\":\"STAT\",\"token\":\"1\"}"));
     engine.write("{\"cmd\":\"STATS\",\"token\":\"1\",\"load\":[0.5]}\n");
     return engine;
@@ -88,6 +100,7 @@
     return over && WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
+  static inline const std::string kHello = "{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":1}\n";
   int port = free_port();
   int listener_port = 0;
   int members;
