Fencing and saved routing state are packages of their own: no include runs up

src/report included agreement/fence.h, and src/agreement included control/saved_state.h and control's messages: lower packages depended on higher ones.

Run: agreement, releases, reporter, fleet and control tests, all pass.

--- a/measure/agreement_world.cpp
+++ b/measure/agreement_world.cpp
@@ -8,9 +8,9 @@
 namespace myrtlecroft::rehearsal {
 namespace {
 
-using agreement::Fence;
+using fencing::Fence;
 using agreement::Instance;
-using agreement::Order;
+using fencing::Order;
 
 constexpr Nanos kTick = 25 * kMs;
 constexpr Nanos kReportEvery = 250 * kMs;
@@ -118,7 +118,7 @@
   bool store = false;
   std::uint64_t sequence = 0;
   Fence fence;
-  agreement::Epoch highest;
+  fencing::Epoch highest;
   std::set<std::uint64_t> ran;
   std::uint32_t version = 1;
   bool chosen = false;  // out as it was told, until it is warm again
@@ -530,7 +530,7 @@
 
 void World::try_key(std::shared_ptr<Key> key) {
   Proxy& proxy = *proxies_[static_cast<std::size_t>(pick(terms_.proxies))];
-  auto shard = agreement::shard_of(key->text, terms_.shard_digits);
+  auto shard = fencing::shard_of(key->text, terms_.shard_digits);
   int owner = proxy.set && !proxy.closed ? proxy.set->snapshot.shards[*shard] : routing::kClosed;
   if (owner == routing::kClosed) {
     ++result_.denied;
--- a/measure/agreement_world.h
+++ b/measure/agreement_world.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "agreement/fence.h"
+#include "fencing/fence.h"
 #include "agreement/instance.h"
 #include "releases/conductor.h"
 
@@ -103,7 +103,7 @@
   void arrive(Node& node, std::shared_ptr<Key> key);
   void fault();
   void operate();
-  void obey(Node& node, const agreement::Order& order, Nanos asked_at);
+  void obey(Node& node, const fencing::Order& order, Nanos asked_at);
   void follow_trips(const agreement::State& state);
   void heal();
   void look();
--- a/src/agreement/draft.cpp
+++ b/src/agreement/draft.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "control/saved_state.h"
+#include "routing_state/saved_state.h"
 
 namespace myrtlecroft::agreement {
 namespace {
@@ -63,7 +63,7 @@
                 (known->second.version() == member.version || leading.format < kOutingsFormat) &&
                 std::abs(known->second.weight() - member.weight) < kWeightWorthAgreeing;
     if (same) continue;
-    *out.add_nodes() = control::to_proto(
+    *out.add_nodes() = routing_state::to_proto(
         routing::Memory::Node{member.node.name, member.state, member.life, member.weight, member.flaps,
                               leading.format < kOutingsFormat ? 0 : member.version});
   }
@@ -127,7 +127,7 @@
   out.set_applied(leading.applied);
   bool begins_anew = out.begin_shards() > 0 && !out.first_start();
   if (leading.next && !begins_anew) {
-    *out.mutable_picture() = control::to_proto(leading.next->snapshot);
+    *out.mutable_picture() = routing_state::to_proto(leading.next->snapshot);
     out.mutable_picture()->set_number(leading.next->number);
   }
   std::set<std::string> here = leading.proxies->here();
--- a/src/agreement/instance.cpp
+++ b/src/agreement/instance.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "control/saved_state.h"
+#include "routing_state/saved_state.h"
 
 namespace myrtlecroft::agreement {
 namespace {
@@ -239,7 +239,7 @@
   if (state_.epoch().number == 0) return router_.begin_again(first_start_);  // from the fleet file
   std::vector<routing::Memory::Node> nodes;
   for (const auto& [name, node] : state_.nodes()) {
-    nodes.push_back(control::from_proto(node));
+    nodes.push_back(routing_state::from_proto(node));
   }
   router_.resume(nodes, state_.shards(), published_);
 }
@@ -410,7 +410,7 @@
   router_.call_out(state_.outings().called_out());
   if (state_.published() == 0 || (published_ && published_->number >= state_.published())) return;
   routing::Published next{.number = state_.published(), .snapshot = {}};
-  if (!control::from_proto(state_.picture(), next.snapshot)) return;
+  if (!routing_state::from_proto(state_.picture(), next.snapshot)) return;
   published_ = std::make_shared<const routing::Published>(std::move(next));
 }
 
--- a/src/agreement/instance.h
+++ b/src/agreement/instance.h
@@ -13,13 +13,15 @@
 
 #include "agreement/contact.h"
 #include "agreement/draft.h"
-#include "agreement/fence.h"
 #include "agreement/state.h"
 #include "consensus/member.h"
+#include "fencing/fence.h"
 #include "routing/router.h"
 
 namespace myrtlecroft::agreement {
 
+using fencing::Order;
+
 struct InstanceTerms {
   consensus::InstanceId id = 0;
   std::string address;  // where other instances reach it
--- a/src/agreement/outings.cpp
+++ b/src/agreement/outings.cpp
@@ -53,7 +53,7 @@
     {PHASE_BACK_HALTED, RELEASE_FINISH, PHASE_TAKEN_BACK},
 };
 
-bool serves(const control::NodeMemory& node) {
+bool serves(const routing_state::NodeMemory& node) {
   return node.state() == routing::name_of(routing::State::kServing);
 }
 
@@ -109,7 +109,7 @@
     if (!step(one, around)) return false;
   }
   // What is shown out from now on is out in this publication.
-  for (const control::NodeRoute& node : around.picture.nodes()) {
+  for (const routing_state::NodeRoute& node : around.picture.nodes()) {
     auto trip = trips_.find(node.name());
     if (trip == trips_.end() || trip->second.shown_in != 0 || !trip->second.gets_nothing()) continue;
     if (node.weight() == 0) trip->second.shown_in = around.picture.number();
--- a/src/agreement/outings.h
+++ b/src/agreement/outings.h
@@ -47,11 +47,11 @@
 
 class Outings {
  public:
-  using Nodes = std::map<std::string, control::NodeMemory>;
+  using Nodes = std::map<std::string, routing_state::NodeMemory>;
   // What else is agreed, as the decision leaves it.
   struct Around {
     const Nodes& nodes;
-    const control::Snapshot& picture;
+    const routing_state::Snapshot& picture;
     std::uint64_t applied = 0;  // the publication that all proxies have
     Nanos time = 0;
     std::uint64_t number = 0;  // of the decision
--- a/src/agreement/state.cpp
+++ b/src/agreement/state.cpp
@@ -68,12 +68,12 @@
   if (decision.window_ns() > 0) window_ = decision.window_ns();
   if (decision.forget_proxies_ns() > 0) forget_proxies_ = decision.forget_proxies_ns();
   bool lives =
-      std::any_of(decision.nodes().begin(), decision.nodes().end(), [&](const control::NodeMemory& node) {
+      std::any_of(decision.nodes().begin(), decision.nodes().end(), [&](const routing_state::NodeMemory& node) {
         auto known = nodes_.find(node.name());
         return known == nodes_.end() || known->second.life() != node.life();
       });
   if (lives || decision.begin_shards() > 0 || decision.shards_size() > 0) owners_epoch_ = epoch_;
-  for (const control::NodeMemory& node : decision.nodes()) nodes_[node.name()] = node;
+  for (const routing_state::NodeMemory& node : decision.nodes()) nodes_[node.name()] = node;
   for (const std::string& name : decision.nodes_gone()) nodes_.erase(name);
 
   if (decision.begin_shards() > kMostShards) return Verdict::kShards;
@@ -165,7 +165,7 @@
   return Verdict::kShards;
 }
 
-bool State::shows_what_is_agreed(const control::Snapshot& picture) const {
+bool State::shows_what_is_agreed(const routing_state::Snapshot& picture) const {
   if (static_cast<std::size_t>(picture.shards_size()) != shards_.size()) return false;
   for (std::size_t at = 0; at < shards_.size(); ++at) {
     int owner = picture.shards(static_cast<int>(at));
@@ -222,7 +222,7 @@
   out.time_ = in.time_ns();
   out.window_ = in.window_ns();
   out.forget_proxies_ = in.forget_proxies_ns();
-  for (const control::NodeMemory& node : in.nodes()) out.nodes_[node.name()] = node;
+  for (const routing_state::NodeMemory& node : in.nodes()) out.nodes_[node.name()] = node;
   for (const ShardWord& shard : in.shards()) {
     if (shard.state() > static_cast<std::uint32_t>(ShardState::kCooling)) return false;
     out.shards_.push_back({.state = static_cast<ShardState>(shard.state()),
--- a/src/agreement/state.h
+++ b/src/agreement/state.h
@@ -15,12 +15,14 @@
 #include <vector>
 
 #include "agreement.pb.h"
-#include "agreement/epoch.h"
 #include "agreement/outings.h"
+#include "fencing/epoch.h"
 #include "routing/router.h"
 
 namespace myrtlecroft::agreement {
 
+using fencing::Epoch;
+
 constexpr std::uint32_t kFormat = 2;        // of entries and images, that this version knows
 constexpr std::uint32_t kOutingsFormat = 2;  // from which on there are permits, releases and commands
 constexpr Nanos kMostElapsed = 2000 * kMs;  // of one entry: a clock that jumps shortens no window by more
@@ -66,9 +68,9 @@
   Nanos forget_proxies() const { return forget_proxies_; }
   const std::vector<routing::Shard>& shards() const { return shards_; }
   std::size_t closed() const;  // shards that nobody may run
-  const control::Snapshot& picture() const { return picture_; }
+  const routing_state::Snapshot& picture() const { return picture_; }
   std::uint64_t published() const { return picture_.number(); }
-  const std::map<std::string, control::NodeMemory>& nodes() const { return nodes_; }
+  const std::map<std::string, routing_state::NodeMemory>& nodes() const { return nodes_; }
   const std::map<std::string, Nanos>& proxies() const { return proxies_; }  // since when gone, or kHere
   const Outings& outings() const { return outings_; }
   const std::map<std::uint64_t, AgreedInstance>& instances() const { return instances_; }
@@ -79,7 +81,7 @@
  private:
   Verdict check_and_apply(const Decision& decision);
   Verdict step_shard(const ShardStep& step, const Decision& decision);
-  bool shows_what_is_agreed(const control::Snapshot& picture) const;
+  bool shows_what_is_agreed(const routing_state::Snapshot& picture) const;
 
   std::uint32_t knows_;
   std::uint32_t form_ = 1;  // the newest of what was agreed: an image is of no newer one
@@ -88,9 +90,9 @@
   Nanos time_ = 0;
   Nanos window_ = 0;
   Nanos forget_proxies_ = 0;
-  std::map<std::string, control::NodeMemory> nodes_;
+  std::map<std::string, routing_state::NodeMemory> nodes_;
   std::vector<routing::Shard> shards_;
-  control::Snapshot picture_;
+  routing_state::Snapshot picture_;
   std::map<std::string, Nanos> proxies_;
   Outings outings_;
   std::map<std::uint64_t, AgreedInstance> instances_;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -110,7 +110,7 @@
 
 std::optional<routing::Memory> Control::remembered() {
   if (!state_ || state_->found().empty()) return std::nullopt;
-  std::optional<SavedState> state = unpacked(state_->found());
+  std::optional<routing_state::SavedState> state = routing_state::unpacked(state_->found());
   if (!state) {
     log_.line(options_.state_folder + ": a state that makes no sense to this version; nothing is known of who ran what");
     return std::nullopt;
@@ -242,7 +242,7 @@
 
 // To a node that acts on an older order, or on none.
 void Control::order(net::Connection& connection, const report::NodeReport& report) {
-  agreement::Order order = agreed_->instance().order_for(report.node);
+  fencing::Order order = agreed_->instance().order_for(report.node);
   if (order.epoch.number == 0 || order.life != report.life || report.epoch >= order.epoch) return;
   // Nobody goes out on the word of an instance that does not know whether it still holds.
   if (order.restart_as && !agreed_->instance().in_touch()) return;
@@ -308,7 +308,7 @@
   if (!soon && loop_.now() - tried_at_ < kKeepEvery) return;
   tried_at_ = loop_.now();
   covered_ = waiting_;
-  keeping_ = packed({router_.memory(), discovery_.known()});
+  keeping_ = routing_state::packed({router_.memory(), discovery_.known()});
   keeping_ == kept_ ? kept(true) : state_->keep(keeping_);
 }
 
@@ -369,7 +369,7 @@
     fill_proxies(out);
   } else if (question == "snapshot") {
     if (router_.published()) {
-      *out.mutable_snapshot() = to_proto(router_.published()->snapshot);
+      *out.mutable_snapshot() = routing_state::to_proto(router_.published()->snapshot);
       out.mutable_snapshot()->set_number(router_.published()->number);
     }
   } else {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -15,7 +15,7 @@
 #include "control/discovery_service.h"
 #include "control/door.h"
 #include "control/operators.h"
-#include "control/saved_state.h"
+#include "routing_state/saved_state.h"
 #include "control/state_store.h"
 #include "net/log.h"
 #include "routing/router.h"
--- a/src/control/tables.cpp
+++ b/src/control/tables.cpp
@@ -100,14 +100,14 @@
                   refused.c_str());
     }
   } else {
-    const Snapshot& snapshot = answer.snapshot();
+    const routing_state::Snapshot& snapshot = answer.snapshot();
     std::printf("snapshot %llu of %s\n", static_cast<unsigned long long>(snapshot.number()),
                 snapshot.listener().c_str());
-    for (const NodeRoute& node : snapshot.nodes()) {
+    for (const routing_state::NodeRoute& node : snapshot.nodes()) {
       std::printf("  node %-16s %-8s weight %u, in flight for each proxy %u\n", node.name().c_str(),
                   node.health().c_str(), node.weight(), node.in_flight());
     }
-    for (const GroupRoute& group : snapshot.groups()) {
+    for (const routing_state::GroupRoute& group : snapshot.groups()) {
       std::printf("  group %-16s admitted %.1f%%, time limit %.3f s, retries %d%s\n", group.name().c_str(),
                   group.admitted() / 100.0, static_cast<double>(group.timeout_ns()) / 1e9,
                   group.repeats().retries(), group.repeats().same_node() ? " at the same node" : "");
--- a/src/agreement/epoch.h
+++ b/src/fencing/epoch.h
@@ -4,7 +4,7 @@
 #include <compare>
 #include <cstdint>
 
-namespace myrtlecroft::agreement {
+namespace myrtlecroft::fencing {
 
 // Later ones are greater, whoever leads.
 struct Epoch {
@@ -13,4 +13,4 @@
   auto operator<=>(const Epoch&) const = default;
 };
 
-}  // namespace myrtlecroft::agreement
+}  // namespace myrtlecroft::fencing
--- a/src/agreement/fence.cpp
+++ b/src/fencing/fence.cpp
@@ -1,9 +1,9 @@
-#include "agreement/fence.h"
+#include "fencing/fence.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace myrtlecroft::agreement {
+namespace myrtlecroft::fencing {
 
 std::optional<std::uint16_t> shard_of(std::string_view key, int digits) {
   auto count = static_cast<std::size_t>(digits);
@@ -32,4 +32,4 @@
   return shard && *shard < own_.size() && own_[*shard];
 }
 
-}  // namespace myrtlecroft::agreement
+}  // namespace myrtlecroft::fencing
--- a/src/agreement/fence.h
+++ b/src/fencing/fence.h
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "agreement/epoch.h"
+#include "fencing/epoch.h"
 
-namespace myrtlecroft::agreement {
+namespace myrtlecroft::fencing {
 
 constexpr std::uint8_t kMostVersion = 99;  // of a program or its settings, as an installation numbers them
 
@@ -55,4 +55,4 @@
   std::vector<bool> own_;
 };
 
-}  // namespace myrtlecroft::agreement
+}  // namespace myrtlecroft::fencing
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,7 +10,7 @@
 #include <stdexcept>
 #include <string>
 
-#include "agreement/fence.h"
+#include "fencing/fence.h"
 #include "arguments.h"
 #include "launch.h"
 #include "net/database.h"
@@ -38,7 +38,7 @@
 // it has a store, whose keys are then known too.
 struct Gate final : myrtlecroft::service::KeyGate {
   bool admits(std::string_view key) const override { return fence.admits(key); }
-  myrtlecroft::agreement::Fence fence;
+  myrtlecroft::fencing::Fence fence;
 };
 
 // The version that whoever starts us says that we are. Throws std::runtime_error.
@@ -48,7 +48,7 @@
   int version = 0;
   const char* end = given + std::strlen(given);
   auto [past, error] = std::from_chars(given, end, version);
-  if (error != std::errc() || past != end || version < 0 || version > myrtlecroft::agreement::kMostVersion)
+  if (error != std::errc() || past != end || version < 0 || version > myrtlecroft::fencing::kMostVersion)
     throw std::runtime_error(std::string("MYRTLECROFT_RELEASE is no number from 0 to 99: '") + given + "'");
   return static_cast<std::uint8_t>(version);
 }
@@ -86,18 +86,18 @@
   reporter.runs(version);
   int code = 0;
   std::function<void()> leave;
-  auto heed = [&](const agreement::Order& order) {
+  auto heed = [&](const fencing::Order& order) {
     // Not taken at all: it is told again in answer to the next report.
     if (order.restart_as && !reporter.is_fresh(order.answers)) {
       log.frequent("an order to start anew came late, and is not heeded: epoch " + std::to_string(order.epoch.number));
       return;
     }
-    agreement::Fence::Verdict verdict = gate.fence.take(order, reporter.life());
+    fencing::Fence::Verdict verdict = gate.fence.take(order, reporter.life());
     std::string figures = "epoch " + std::to_string(order.epoch.number) + " of term " +
                           std::to_string(order.epoch.term) + ", " + std::to_string(order.shards.size()) +
                           " shards";
-    if (verdict == agreement::Fence::Verdict::kOld) log.frequent("an order is too old: " + figures);
-    if (verdict != agreement::Fence::Verdict::kTaken) return;
+    if (verdict == fencing::Fence::Verdict::kOld) log.frequent("an order is too old: " + figures);
+    if (verdict != fencing::Fence::Verdict::kTaken) return;
     log.frequent("acts on " + figures);
     reporter.acts_on(order.epoch);
     if (records) records->keep_order(report::encode(order));
@@ -110,7 +110,7 @@
   if (records && own_settings.reports.obey) {
     report::Malformed malformed{};
     report::decode(records->order(),
-                   {.report = {}, .order = [&](const agreement::Order& order) { gate.fence.restore(order); }},
+                   {.report = {}, .order = [&](const fencing::Order& order) { gate.fence.restore(order); }},
                    malformed);
     if (gate.fence.order()) reporter.acts_on(gate.fence.order()->epoch);
   }
--- a/src/net/reporter.h
+++ b/src/net/reporter.h
@@ -23,9 +23,9 @@
   void report_to(const settings::ReportSettings& settings);
   // Orders that come where the settings say that they are heeded; otherwise nothing is taken on these
   // connections.
-  using Ordered = std::function<void(const agreement::Order&)>;
+  using Ordered = std::function<void(const fencing::Order&)>;
   void on_order(Ordered ordered) { ordered_ = std::move(ordered); }
-  void acts_on(agreement::Epoch epoch) { next_.epoch = epoch; }
+  void acts_on(fencing::Epoch epoch) { next_.epoch = epoch; }
   void runs(std::uint8_t version) { next_.version = version; }
   // Whether that report was sent not long ago, by our own clock: an answer to it is no older. What lay in a
   // socket while a link stood still would pass for news otherwise.
--- a/src/releases/plan.cpp
+++ b/src/releases/plan.cpp
@@ -2,7 +2,7 @@
 
 #include <google/protobuf/util/json_util.h>
 
-#include "agreement/fence.h"
+#include "fencing/fence.h"
 #include "settings/document.h"
 
 namespace myrtlecroft::releases {
@@ -78,7 +78,7 @@
   root.whole("version", 1, 1);
   out.set_name(root.text("name"));
   if (out.name().size() > 64) root.bad("name", "is longer than 64 letters");
-  out.set_version(static_cast<std::uint32_t>(root.whole("wanted", 0, agreement::kMostVersion)));
+  out.set_version(static_cast<std::uint32_t>(root.whole("wanted", 0, fencing::kMostVersion)));
   out.set_first_nodes(static_cast<std::uint32_t>(root.whole_or("first_nodes", 3, 1, kMostFirst)));
   read_waves(root, out);
   Nanos soak = root.millis_or("soak_ms", 60'000 * kMs, 100, kLongest);
--- a/src/report/frames.cpp
+++ b/src/report/frames.cpp
@@ -116,7 +116,7 @@
   return in.good() && !out.node.empty();
 }
 
-bool read_body(Reader& in, agreement::Order& out) {
+bool read_body(Reader& in, fencing::Order& out) {
   out.epoch.term = in.get<std::uint64_t>();
   out.epoch.number = in.get<std::uint64_t>();
   out.life = in.get<std::uint64_t>();
@@ -129,7 +129,7 @@
   if (!in.empty()) {
     out.answers = in.get<std::uint64_t>();
     auto restart = in.get<std::uint8_t>();
-    if (restart <= agreement::kMostVersion) out.restart_as = restart;
+    if (restart <= fencing::kMostVersion) out.restart_as = restart;
   }
   return in.good();
 }
@@ -152,7 +152,7 @@
 
 }  // namespace
 
-std::string encode(const agreement::Order& order) {
+std::string encode(const fencing::Order& order) {
   Writer body;
   body.put(kFormatVersion);
   body.put(kOrder);
--- a/src/report/frames.h
+++ b/src/report/frames.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "agreement/fence.h"
+#include "fencing/fence.h"
 #include "myrtlecroft/controller.h"
 
 namespace myrtlecroft::report {
@@ -43,7 +43,7 @@
   bool leaving = false;
   bool engine_up = false;
   bool obeys = false;        // it takes orders on this connection
-  agreement::Epoch epoch;    // of the order that it acts on; none yet: zeros
+  fencing::Epoch epoch;    // of the order that it acts on; none yet: zeros
   std::uint8_t version = 0;  // that it was started in, by who started it
   std::uint32_t window = 0;  // positions
   double limit = 0;          // running exchanges
@@ -56,7 +56,7 @@
 };
 
 std::string encode(const NodeReport& report);
-std::string encode(const agreement::Order& order);
+std::string encode(const fencing::Order& order);
 
 enum class Malformed { kNo, kTooLarge, kVersion, kBody };
 const char* name_of(Malformed what);
@@ -64,7 +64,7 @@
 // What a frame may be. One that nobody asked for is passed over.
 struct Came {
   std::function<void(NodeReport)> report;
-  std::function<void(agreement::Order)> order;
+  std::function<void(fencing::Order)> order;
 };
 
 // Takes the whole frames at the front of the bytes, hands over each report, and says how many bytes they
--- a/src/control/saved_state.cpp
+++ b/src/routing_state/saved_state.cpp
@@ -1,8 +1,8 @@
-#include "control/saved_state.h"
+#include "routing_state/saved_state.h"
 
 #include <array>
 
-namespace myrtlecroft::control {
+namespace myrtlecroft::routing_state {
 namespace {
 
 constexpr std::array<routing::State, routing::kStates> kStates = {
@@ -150,4 +150,4 @@
   return out;
 }
 
-}  // namespace myrtlecroft::control
+}  // namespace myrtlecroft::routing_state
--- a/src/control/saved_state.h
+++ b/src/routing_state/saved_state.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
-#include "control.pb.h"
 #include "routing/router.h"
+#include "routing_state.pb.h"
 
-namespace myrtlecroft::control {
+namespace myrtlecroft::routing_state {
 
 struct SavedState {
   routing::Memory memory;
@@ -25,4 +25,4 @@
 std::string packed(const SavedState& state);
 std::optional<SavedState> unpacked(const std::string& bytes);
 
-}  // namespace myrtlecroft::control
+}  // namespace myrtlecroft::routing_state
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -4,13 +4,14 @@
 
 #include "agreement/contact.h"
 #include "agreement/draft.h"
-#include "agreement/fence.h"
 #include "agreement/state.h"
 #include "agreement_world.h"
+#include "fencing/fence.h"
 
 namespace myrtlecroft::agreement {
 namespace {
 
+using fencing::Fence;
 using routing::ShardState;
 
 struct StateStory : testing::Test {
@@ -20,7 +21,7 @@
     begin.set_first_start(true);
     begin.set_window_ns(1000 * kMs);
     for (std::uint32_t shard : {0u, 1u}) hand_over(begin, shard, "n1", 7);
-    control::NodeMemory& node = *begin.add_nodes();
+    routing_state::NodeMemory& node = *begin.add_nodes();
     node.set_name("n1");
     node.set_life(7);
     show(begin, {0, 0});
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -53,6 +53,7 @@
 
 // ---- The last good state
 
+using routing_state::SavedState;
 SavedState some_state() {
   routing::FleetWorld world;
   world.run(3 * kSecond);
@@ -61,7 +62,7 @@
 
 TEST(SavedState, IsReadBackAsItWas) {
   SavedState state = some_state();
-  auto back = unpacked(packed(state));
+  auto back = routing_state::unpacked(routing_state::packed(state));
   ASSERT_TRUE(back);
   EXPECT_EQ(back->memory, state.memory);
   EXPECT_EQ(back->proxies, state.proxies);
--- a/tests/instances_test.cpp
+++ b/tests/instances_test.cpp
@@ -98,18 +98,18 @@
 }
 
 TEST(OrderFrames, AnOrderIsReadAsItWasWritten) {
-  agreement::Order order{{3, 44}, 17, 2, {0, 7, 255}};
+  fencing::Order order{{3, 44}, 17, 2, {0, 7, 255}};
   std::string bytes = report::encode(order);
-  agreement::Order read;
+  fencing::Order read;
   report::Malformed malformed{};
-  EXPECT_EQ(report::decode(bytes, {.report = {}, .order = [&](const agreement::Order& one) { read = one; }},
+  EXPECT_EQ(report::decode(bytes, {.report = {}, .order = [&](const fencing::Order& one) { read = one; }},
                            malformed),
             bytes.size());
   EXPECT_EQ(malformed, report::Malformed::kNo);
   EXPECT_EQ(read, order);
   bytes.resize(bytes.size() - 1);
   bytes[3] = static_cast<char>(bytes[3] - 1);
-  report::decode(bytes, {.report = {}, .order = [](const agreement::Order&) {}}, malformed);
+  report::decode(bytes, {.report = {}, .order = [](const fencing::Order&) {}}, malformed);
   EXPECT_EQ(malformed, report::Malformed::kBody) << "a cut order is none";
 }
 
--- a/tests/releases_test.cpp
+++ b/tests/releases_test.cpp
@@ -67,7 +67,7 @@
     Decision begin = next();
     *begin.mutable_budgets() = budgets_of(fleet_of(4));
     for (int i = 1; i <= 4; ++i) {
-      control::NodeMemory& node = *begin.add_nodes();
+      routing_state::NodeMemory& node = *begin.add_nodes();
       node.set_name("n" + std::to_string(i));
       node.set_state("serving");
       node.set_life(7);
@@ -126,7 +126,7 @@
   }
   void comes_back(const std::string& node, std::uint32_t version, const char* as = "ramping") {
     Decision decision = next();
-    control::NodeMemory& memory = *decision.add_nodes();
+    routing_state::NodeMemory& memory = *decision.add_nodes();
     memory.set_name(node);
     memory.set_state(as);
     memory.set_life(8);
@@ -147,7 +147,7 @@
 
 TEST_F(RulesStory, WhatHasFailedUsesUpTheSameBudget) {
   Decision failed = next();
-  control::NodeMemory& node = *failed.add_nodes();
+  routing_state::NodeMemory& node = *failed.add_nodes();
   node.set_name("n4");
   node.set_state("silent");
   ASSERT_EQ(state.apply(failed), Verdict::kTaken);
@@ -197,7 +197,7 @@
 TEST_F(RulesStory, AHaltIsInForceAtOnceAlsoForThoseThatHaveTheirOrder) {
   order("n1");
   ASSERT_EQ(grant("n2"), Verdict::kTaken);
-  agreement::Epoch before = state.owners_epoch();
+  fencing::Epoch before = state.owners_epoch();
   ASSERT_EQ(say(agreement::RELEASE_HALT), Verdict::kTaken);
   EXPECT_EQ(trip("n1")->place, TripPlace::kReturning);
   EXPECT_EQ(trip("n2")->place, TripPlace::kReturning);
@@ -462,7 +462,7 @@
   bool wrong = false;  // comes back in the version that it had
   bool never = false;  // does not come back
   Nanos back_at = 0;
-  agreement::Epoch epoch;
+  fencing::Epoch epoch;
 };
 
 struct FleetStory : testing::Test {
@@ -485,7 +485,7 @@
     decision.set_basis(state.epoch().number);
     decision.set_elapsed_ns(state.epoch().number > 0 ? 100 * kMs : 0);
     for (const routing::Member& member : router.members().all()) {
-      control::NodeMemory& node = *decision.add_nodes();
+      routing_state::NodeMemory& node = *decision.add_nodes();
       node.set_name(member.node.name);
       node.set_state(routing::name_of(member.state));
       node.set_life(member.life);
