--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -33,7 +33,7 @@
   object values = part(fields, "metrics");
   auto gauge = [&](std::string_view name, std::optional<double>& into) {
     element reading;
-    if (find(values, name, reading)) into = number(reading, name);
+    if (find(values, name, reading)) into = number(values, name, reading);
   };
   gauge("core_use", gauges.core_use);
   gauge("on_cores", gauges.on_cores);
