JSON is read without simdjson's throwing conversions

An element passed where an object was wanted became one silently and threw at run time when it wasn't.

--- a/src/terms/place.cpp
+++ b/src/terms/place.cpp
@@ -14,17 +14,18 @@
 };
 
 std::optional<Step> find_object(element here, const char* mark, const Step& at) {
-  if (here.is_array()) {
+  simdjson::dom::array entries;
+  if (here.get(entries) == simdjson::SUCCESS) {
     std::size_t number = 0;
-    for (element entry : simdjson::dom::array(here.get_array())) {
+    for (element entry : entries) {
       std::string index = std::to_string(number++);
       if (auto found = find_object(entry, mark, {at.pointer + "/" + index, at.path + "[" + index + "]"}))
         return found;
     }
     return std::nullopt;
   }
-  if (!here.is_object()) return std::nullopt;
-  object fields = here.get_object();
+  object fields;
+  if (here.get(fields) != simdjson::SUCCESS) return std::nullopt;
   if (mark_of(fields) == mark) return at;
   for (auto [key, value] : fields) {
     std::string name(key);
@@ -80,7 +81,9 @@
   if (type == ondemand::json_type::string) return value.get_string().error();
   if (type == ondemand::json_type::number) return value.get_double().error();
   if (type == ondemand::json_type::boolean) return value.get_bool().error();
-  return value.is_null() ? simdjson::SUCCESS : simdjson::N_ATOM_ERROR;
+  bool null = false;
+  if (auto error = value.is_null().get(null)) return error;
+  return null ? simdjson::SUCCESS : simdjson::N_ATOM_ERROR;
 }
 
 }  // namespace
