--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -41,6 +41,31 @@
   return gauges;
 }
 
+// Empty where the site has no tenants, which the wire may also tell by 0.
+std::string read_tenant(object fields) {
+  element tenant;
+  if (!find(fields, "tenant", tenant)) return "";
+  if (tenant.is_string()) return text(fields, "tenant");
+  std::int64_t none = -1;
+  if (tenant.get(none) != simdjson::SUCCESS || none != 0) bad(fields, "tenant", "is neither a text nor 0");
+  return "";
+}
+
+bool has_key(object fields) {
+  element key;
+  if (!find(fields, "targetKey", key)) return false;
+  whole(fields, "targetKey");
+  return true;
+}
+
+// One line for standard error, whatever bytes of the input it quotes.
+std::string one_line(std::string message) {
+  for (char& c : message) {
+    if (static_cast<unsigned char>(c) < 0x20) c = ' ';
+  }
+  return message;
+}
+
 struct WireExchange : Exchange {
   std::uint64_t id = 0;
   std::uint64_t prior_id = 0;
@@ -66,15 +91,11 @@
       if (known.name == group) ex->group = &known;
     }
     if (!ex->group) throw WireError("field 'profile' names the unknown class '" + group + "'");
-    element tenant;
-    if (find(fields, "tenant", tenant) && tenant.is_string()) {
-      std::string name = text(fields, "tenant");
-      for (const Customer& known : terms_.customers) {
-        if (known.name == name) ex->customer = &known;
-      }
+    std::string tenant = read_tenant(fields);
+    for (const Customer& known : terms_.customers) {
+      if (known.name == tenant) ex->customer = &known;
     }
-    element subject;
-    ex->has_subject = find(fields, "targetKey", subject);
+    ex->has_subject = has_key(fields);
     ex->writes = truth(fields, "update");
     ex->arrived = -whole_or(fields, "ageNs", 0);  // made a clock time when it is delivered
     ex->gives_up_at = whole_or(fields, "giveUpAtNs", 0);
@@ -180,17 +201,27 @@
       if (!out_) throw WireError("the reply can't be written");
     }
   } catch (const std::exception& error) {
-    throw WireError("line " + std::to_string(line_number_) + ": " + error.what());
+    throw WireError("line " + std::to_string(line_number_) + ": " + one_line(error.what()));
   }
 }
 
 Instance& Wire::instance_of(object fields) {
   std::int64_t number = whole(fields, "server");
   auto place = instances_.find(number);
-  if (place == instances_.end()) throw WireError("server " + std::to_string(number) + " was never started");
+  if (place == instances_.end()) {
+    throw WireError("field 'server' names " + std::to_string(number) + ", which was never started");
+  }
   return *place->second;
 }
 
+// Events of the present batch that came before its end are void with it.
+void Wire::end_instance(std::int64_t number) {
+  auto place = instances_.find(number);
+  if (place == instances_.end()) return;
+  std::erase_if(events_, [&](const Event& event) { return event.instance == place->second.get(); });
+  instances_.erase(place);
+}
+
 // Reads one batch into events_. False at the end of the input.
 bool Wire::read_batch() {
   events_.clear();
@@ -205,7 +236,7 @@
     object fields;
     if (value.get(fields) != simdjson::SUCCESS) throw WireError("not an object");
     std::string name = text(fields, "m");
-    if ((name == "Turn") == open) throw WireError("'" + name + "' in the wrong place");
+    if ((name == "Turn") == open) throw WireError("field 'm' names '" + name + "' in the wrong place");
     if (name == "Turn") {
       open = true;
       now_ = whole(fields, "momentNs");
@@ -230,12 +261,13 @@
       {"Dropped", Kind::kGone},       {"WindDown", Kind::kLeave},     {"Ring", Kind::kRang}};
   auto entry =
       std::find_if(std::begin(known), std::end(known), [&](auto& each) { return each.first == name; });
-  if (entry == std::end(known)) throw WireError("the unknown event '" + name + "'");
+  if (entry == std::end(known)) throw WireError("field 'm' names the unknown event '" + name + "'");
   Event event;
   event.kind = entry->second;
   if (event.kind == Kind::kStart) {
     std::int64_t number = whole(fields, "server");
     auto seed = static_cast<std::uint64_t>(whole(fields, "seed"));
+    end_instance(number);
     instances_[number] = std::make_unique<Instance>(number, read_terms(part(fields, "env")), seed, reply_);
     event.instance = instances_[number].get();
     events_.push_back(event);
@@ -244,7 +276,7 @@
   event.instance = &instance_of(fields);
   switch (event.kind) {
     case Kind::kStop:
-      instances_.erase(whole(fields, "server"));
+      end_instance(whole(fields, "server"));
       return;
     case Kind::kRead:
       event.ex = &event.instance->add(fields);
--- a/src/wirehost/wire.h
+++ b/src/wirehost/wire.h
@@ -38,6 +38,7 @@
   void read_event(simdjson::dom::object fields);
   void deliver(const Event& event);
   Instance& instance_of(simdjson::dom::object fields);
+  void end_instance(std::int64_t number);
 
   std::istream& in_;
   std::ostream& out_;
