The decision step follows what changes: winners, owners and members by index

A step looked owners up by name among all members for each shard, routes by name for each member, and members by name for each report; it wrote down the whole electorate as text, drew servers x shards scores anew whenever one server came or went, counted what may be out anew for each server that failed, and summed reads of groups by name. Now: - Rendezvous keeps each shard's winner: one that leaves redraws only what it had won, one that joins competes once for each shard, and most draws are told to lose without a logarithm. The draws are the same as before. - Members are found by name in an index; places stand until the next fleet file (layout()). Shards keep owners by name and a place beside it. - A step that would draw what is published is told from that without drawing it. A restored picture is compared once. - Admission sums by the group's place, noted when a report comes, and only while something is shed.

Of two equal scores the smaller name wins now, not the earlier in the file; no two of 53 bits were seen equal.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <numeric>
-#include <string>
 
 namespace myrtlecroft::routing {
 namespace {
@@ -19,22 +17,16 @@
 
 }  // namespace
 
-bool Admission::step(const fleet::Fleet& fleet, const std::vector<Member>& members, Nanos now) {
+bool Admission::step(const fleet::Fleet& fleet, const Members& members, Nanos now) {
   double passed = begun_ ? std::min(1.0, static_cast<double>(now - at_) / static_cast<double>(kSecond)) : 0;
   at_ = now;
   begun_ = true;
   double read = 0;
   double denied = 0;
-  std::map<std::string, double> reads;  // by group, as nodes count them
-  for (const Member& member : members) {
+  for (const Member& member : members.all()) {
     if (!member.in_service() || member.heard_at == 0) continue;
     read += member.read.read(now);
     denied += member.denied.read(now);
-    double all = 0;
-    for (const report::GroupCounts& counts : member.report.groups) all += static_cast<double>(counts.read);
-    for (const report::GroupCounts& counts : member.report.groups) {
-      if (all > 0) reads[counts.group] += member.read.read(now) * static_cast<double>(counts.read) / all;
-    }
   }
   if (read >= kFewReads) {
     double share = denied / read;
@@ -43,24 +35,27 @@
   } else {
     shed_ = std::max(0.0, shed_ - fleet.bounds.shed_step * passed);
   }
+  std::vector<std::uint32_t> next(fleet.groups.size(), kWhole);
+  if (shed_ > 0) share_out(fleet, members, now, next);
+  bool changed = next != admitted_;
+  admitted_ = std::move(next);
+  return changed;
+}
 
-  // From the group that earns least upward, until the share is reached. What each group would send were
-  // nothing shed is known from what it sends now.
-  std::vector<std::size_t> order(fleet.groups.size());
-  std::iota(order.begin(), order.end(), 0);
-  std::stable_sort(order.begin(), order.end(), [&](std::size_t one, std::size_t other) {
-    return fleet.groups[one].benefit < fleet.groups[other].benefit;
-  });
-  std::vector<double> offered(fleet.groups.size());
+// From the group that earns least upward, until the share is reached. What each group would send were nothing
+// shed is known from what it sends now.
+void Admission::share_out(const fleet::Fleet& fleet, const Members& members, Nanos now,
+                          std::vector<std::uint32_t>& next) {
+  order_by_benefit(fleet, members);
+  std::vector<double> offered = reads_of(fleet, members, now);
   double all = 0;
-  for (std::size_t i = 0; i < fleet.groups.size(); ++i) {
+  for (std::size_t i = 0; i < offered.size(); ++i) {
     double let_in = i < admitted_.size() ? static_cast<double>(admitted_[i]) / kWhole : 1;
-    offered[i] = reads[fleet.groups[i].name] / std::max(let_in, 0.01);
+    offered[i] /= std::max(let_in, 0.01);
     all += offered[i];
   }
   double to_shed = shed_ * all;
-  std::vector<std::uint32_t> next(fleet.groups.size(), kWhole);
-  for (std::size_t i : order) {
+  for (std::size_t i : order_) {
     if (fleet.groups[i].effect == Effect::kDeduplicated || offered[i] <= 0) continue;
     double share = std::clamp(1 - to_shed / offered[i], fleet.bounds.least_admitted, 1.0);
     to_shed = std::max(0.0, to_shed - (1 - share) * offered[i]);
@@ -68,9 +63,29 @@
     next[i] =
         std::max(next[i], static_cast<std::uint32_t>(std::lround(fleet.bounds.least_admitted * kWhole)));
   }
-  bool changed = next != admitted_;
-  admitted_ = std::move(next);
-  return changed;
+}
+
+// By group, as nodes count them.
+std::vector<double> Admission::reads_of(const fleet::Fleet& fleet, const Members& members, Nanos now) {
+  std::vector<double> reads(fleet.groups.size());
+  for (const Member& member : members.all()) {
+    if (!member.in_service() || member.heard_at == 0) continue;
+    double read = member.read.read(now);
+    for (const GroupShare& one : member.group_shares) {
+      if (one.group >= 0) reads[static_cast<std::size_t>(one.group)] += read * one.share;
+    }
+  }
+  return reads;
+}
+
+void Admission::order_by_benefit(const fleet::Fleet& fleet, const Members& members) {
+  if (layout_ == members.layout()) return;
+  layout_ = members.layout();
+  order_.resize(fleet.groups.size());
+  std::iota(order_.begin(), order_.end(), 0);
+  std::stable_sort(order_.begin(), order_.end(), [&](std::size_t one, std::size_t other) {
+    return fleet.groups[one].benefit < fleet.groups[other].benefit;
+  });
 }
 
 }  // namespace myrtlecroft::routing
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -17,16 +17,23 @@
  public:
   // Looks at what nodes in service have denied lately. True where a group's share changed by a step that is
   // worth telling.
-  bool step(const fleet::Fleet& fleet, const std::vector<Member>& members, Nanos now);
+  bool step(const fleet::Fleet& fleet, const Members& members, Nanos now);
   // Of ten thousand, in the order of the fleet's groups.
   const std::vector<std::uint32_t>& admitted() const { return admitted_; }
   double shed() const { return shed_; }
 
  private:
+  void share_out(const fleet::Fleet& fleet, const Members& members, Nanos now,
+                 std::vector<std::uint32_t>& next);
+  static std::vector<double> reads_of(const fleet::Fleet& fleet, const Members& members, Nanos now);
+  void order_by_benefit(const fleet::Fleet& fleet, const Members& members);
+
   double shed_ = 0;  // share of what comes, by benefit, that proxies deny
   Nanos at_ = 0;
   bool begun_ = false;
   std::vector<std::uint32_t> admitted_;
+  std::vector<std::size_t> order_;  // of the groups, from the one that earns least
+  std::uint64_t layout_ = 0;        // of the members, when `order_` was made
 };
 
 }  // namespace myrtlecroft::routing
--- a/src/routing/members.cpp
+++ b/src/routing/members.cpp
@@ -113,13 +113,20 @@
   now_ = std::max(now_, now);
   bounds_ = fleet.bounds;
   longest_slo_ = 0;
-  for (const fleet::Group& group : fleet.groups) longest_slo_ = std::max(longest_slo_, group.slo_time);
+  groups_.clear();
+  for (std::size_t at = 0; at < fleet.groups.size(); ++at) {
+    longest_slo_ = std::max(longest_slo_, fleet.groups[at].slo_time);
+    groups_.emplace(fleet.groups[at].name, static_cast<int>(at));
+  }
   std::vector<Member> next;
+  next.reserve(fleet.nodes.size());
   for (const fleet::Node& node : fleet.nodes) {
     Member* old = find(node.name);
     if (old && old->node.address() == node.address()) {
       next.push_back(std::move(*old));
       next.back().node = node;
+      next.back().group_shares.clear();
+      note_groups(next.back(), next.back().report);
       continue;
     }
     // At another address it is another node. One that is added while others are known starts from nothing:
@@ -129,12 +136,39 @@
     next.push_back(std::move(member));
   }
   members_ = std::move(next);
+  places_.clear();
+  for (std::size_t place = 0; place < members_.size(); ++place) {
+    places_.emplace(members_[place].node.name, static_cast<int>(place));
+  }
+  ++layout_;
+}
+
+int Members::place_of(const std::string& name) const {
+  auto found = places_.find(name);
+  return found == places_.end() ? -1 : found->second;
 }
 
 Member* Members::find(const std::string& name) {
-  auto found = std::find_if(members_.begin(), members_.end(),
-                            [&](const Member& member) { return member.node.name == name; });
-  return found == members_.end() ? nullptr : &*found;
+  int place = place_of(name);
+  return place < 0 ? nullptr : &members_[static_cast<std::size_t>(place)];
+}
+
+// A node names the same groups in each report: they are looked up only where a name is another than before.
+void Members::note_groups(Member& member, const report::NodeReport& report) const {
+  double all = 0;
+  for (const report::GroupCounts& counts : report.groups) all += static_cast<double>(counts.read);
+  const std::vector<report::GroupCounts>& before = member.report.groups;
+  std::size_t known = std::min(member.group_shares.size(), before.size());
+  member.group_shares.resize(report.groups.size());
+  for (std::size_t at = 0; at < report.groups.size(); ++at) {
+    const report::GroupCounts& counts = report.groups[at];
+    GroupShare& to = member.group_shares[at];
+    if (at >= known || before[at].group != counts.group) {
+      auto found = groups_.find(counts.group);
+      to.group = found == groups_.end() ? -1 : found->second;
+    }
+    to.share = all > 0 ? static_cast<double>(counts.read) / all : 0;
+  }
 }
 
 // ---- Inputs
@@ -170,6 +204,7 @@
   member->asked.add(report.running + report.held, now_);
   member->reports.add(1, now_);
   if (totals.answered > before.answered || totals.answered >= totals.read) member->moved_at = now_;
+  note_groups(*member, report);
   member->report = report;
   member->heard_at = now_;
   return Verdict::kTaken;
@@ -282,6 +317,7 @@
     break;
   }
   if (view_ != View::kRestoring) {
+    count_out();
     for (Member& member : members_) step(member);
     keep_floor();
   }
@@ -308,9 +344,11 @@
       member.report.limit, member.report.held, static_cast<unsigned long long>(unanswered(member.report)),
       member.weight, member.flaps);
   log_(line);
+  out_ -= out_of(member);
   member.state = next;
   member.since = member.calm_since = now_;
   member.kept_in = was_in && has_failed(next) && !may_be_out(member);
+  out_ += out_of(member);
   if (member.kept_in) log_("node " + member.node.name + " is kept in: too much of the fleet would be out");
   changed_ = true;
   switch (next) {
@@ -350,22 +388,31 @@
   }
 }
 
-bool Members::may_be_out(const Member& member) const {
-  double all = 0;
-  double out = 0;
+// Counted anew in each step, so that no rounding adds up.
+void Members::count_out() {
+  capacity_ = 0;
+  out_ = 0;
   for (const Member& one : members_) {
-    all += one.node.capacity;
-    if (&one != &member && (one.called_out || (has_failed(one.state) && !one.kept_in))) out += one.node.capacity;
+    capacity_ += one.node.capacity;
+    out_ += out_of(one);
   }
-  return out + member.node.capacity <= bounds_.most_out * all + 1e-9;
+}
+
+// By what else is out: `out_` is without this member.
+bool Members::may_be_out(const Member& member) const {
+  return out_ + member.node.capacity <= bounds_.most_out * capacity_ + 1e-9;
 }
 
 // However bad the evidence, no more than a stated share of the fleet is out by our choice: evidence can be
 // wrong, and the rest would fall over. Harm: what is kept in for dead costs each exchange sent there a try.
 void Members::keep_floor() {
   for (Member& member : members_) {
-    if (!member.kept_in || !may_be_out(member)) continue;
-    member.kept_in = false;
+    if (!member.kept_in) continue;
+    out_ -= out_of(member);
+    bool stays = !may_be_out(member);
+    if (!stays) member.kept_in = false;
+    out_ += out_of(member);
+    if (stays) continue;
     changed_ = true;
     log_("node " + member.node.name + " is out now: the rest of the fleet is back");
   }
--- a/src/routing/members.h
+++ b/src/routing/members.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fleet/fleet.h"
@@ -49,6 +50,12 @@
   std::uint64_t failed = 0;
 };
 
+// One endpoint group of a report: its place among the fleet's groups, and its share of what the node read.
+struct GroupShare {
+  int group = -1;  // -1: the fleet file names no such group
+  double share = 0;
+};
+
 struct Member {
   fleet::Node node;
   State state = State::kPresumed;
@@ -61,6 +68,7 @@
   Nanos lost_keys_at = 0;  // when another life was first seen; 0 = never
   std::uint32_t version = 0;  // that it runs, as it said last
   report::NodeReport report{};
+  std::vector<GroupShare> group_shares{};  // of the report's groups, in their order
   // From its reports.
   DecayingSum read{kWindow};
   DecayingSum denied{kWindow};
@@ -128,6 +136,10 @@
 
   const std::vector<Member>& all() const { return members_; }
   const Member* member(const std::string& name) const { return const_cast<Members*>(this)->find(name); }
+  // Its place in all(), or -1. Places stand until the layout changes.
+  int place_of(const std::string& name) const;
+  // Grows with each fleet file that is taken; above 0.
+  std::uint64_t layout() const { return layout_; }
   View view() const { return view_; }
 
  private:
@@ -168,6 +180,12 @@
   bool may_return_cold(const Member& member) const { return well_and_cold(member) && rested(member); }
   Nanos dwell(const Member& member) const;
   bool may_be_out(const Member& member) const;
+  void count_out();
+  // Of its capacity, what counts as out by our choice or by agreement.
+  static double out_of(const Member& member) {
+    bool out = member.called_out || (has_failed(member.state) && !member.kept_in);
+    return out ? member.node.capacity : 0;
+  }
 
   void step(Member& member);
   void enter(Member& member, State next, const char* why);
@@ -177,10 +195,16 @@
   void change_view(View next, const char* why);
   double pressure(const Member& member) const;
   Member* find(const std::string& name);
+  void note_groups(Member& member, const report::NodeReport& report) const;
 
   fleet::Bounds bounds_;
   Nanos longest_slo_ = 0;
   std::vector<Member> members_;
+  std::unordered_map<std::string, int> places_;  // only looked up: its order says nothing
+  std::unordered_map<std::string, int> groups_;  // the same, of the fleet's groups
+  std::uint64_t layout_ = 0;
+  double capacity_ = 0;  // of all, and of those that are out; kept up within a step
+  double out_ = 0;
   View view_ = View::kRestoring;
   Nanos view_since_;
   Nanos now_;
--- /dev/null
+++ b/src/routing/rendezvous.cpp
@@ -0,0 +1,108 @@
+#include "routing/rendezvous.h"
+
+#include <cmath>
+
+// Inlined: a draw is shorter than a call.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace myrtlecroft::routing {
+namespace {
+
+constexpr double kDraws = 9007199254740992.0;  // 2^53
+constexpr double kRounding = 1e-9;             // more than the arithmetic of a score is off by
+
+// In (0, 1), from the server's name and the shard alone, so that every instance and every restart draws the same.
+double draw_of(const std::string& name, std::size_t shard) {
+  std::uint64_t hash = XXH3_64bits_withSeed(name.data(), name.size(), shard);
+  return (static_cast<double>(hash >> 11) + 0.5) / kDraws;
+}
+
+// -log(draw) is at least 1 - draw: most draws are told to lose without a logarithm.
+bool surely_loses(double draw, double capacity, double best_score) {
+  return capacity * (1 + kRounding) < best_score * (1 - draw);
+}
+
+}  // namespace
+
+Rendezvous::Candidate Rendezvous::candidate_of(const Member& member) {
+  return {.name = member.node.name,
+          .capacity = member.node.capacity,
+          .priority = member.node.priority,
+          .competes = member.in_service() && !member.kept_in};
+}
+
+// Another fleet file moves members to other places: winners keep their shards, and those who are gone compete no
+// more.
+void Rendezvous::follow_layout(const Members& members) {
+  std::vector<int> places(candidates_.size(), kNobody);
+  std::vector<Candidate> next(members.all().size());
+  for (std::size_t place = 0; place < next.size(); ++place) next[place].name = members.all()[place].node.name;
+  for (std::size_t before = 0; before < candidates_.size(); ++before) {
+    places[before] = members.place_of(candidates_[before].name);
+    if (places[before] != kNobody) next[static_cast<std::size_t>(places[before])] = candidates_[before];
+  }
+  candidates_ = std::move(next);
+  layout_ = members.layout();
+  std::vector<std::size_t> orphans;
+  for (std::size_t shard = 0; shard < winners_.size(); ++shard) {
+    Winner& winner = winners_[shard];
+    if (winner.place == kNobody) continue;
+    winner.place = places[static_cast<std::size_t>(winner.place)];
+    if (winner.place == kNobody) orphans.push_back(shard);
+  }
+  for (std::size_t shard : orphans) redraw(shard);
+}
+
+void Rendezvous::follow(const Members& members) {
+  if (layout_ != members.layout()) follow_layout(members);
+  std::vector<bool> left(candidates_.size(), false);
+  std::vector<int> joined;
+  bool any_left = false;
+  for (std::size_t place = 0; place < candidates_.size(); ++place) {
+    const Member& member = members.all()[place];
+    Candidate& before = candidates_[place];
+    bool competes = member.in_service() && !member.kept_in;
+    bool same = before.competes == competes && before.capacity == member.node.capacity &&
+                before.priority == member.node.priority;
+    if (same) continue;
+    // One whose terms change leaves under the old and joins under the new.
+    left[place] = before.competes;
+    any_left = any_left || before.competes;
+    if (competes) joined.push_back(static_cast<int>(place));
+    before = candidate_of(member);
+  }
+  if (!any_left && joined.empty()) return;
+  for (std::size_t shard = 0; shard < winners_.size(); ++shard) {
+    int place = winners_[shard].place;
+    if (place != kNobody && left[static_cast<std::size_t>(place)]) {
+      redraw(shard);  // those who joined are among the candidates already
+      continue;
+    }
+    for (int one : joined) compete(one, shard);
+  }
+}
+
+void Rendezvous::redraw(std::size_t shard) {
+  winners_[shard] = Winner{};
+  for (std::size_t place = 0; place < candidates_.size(); ++place) {
+    if (candidates_[place].competes) compete(static_cast<int>(place), shard);
+  }
+}
+
+// Of two equal scores the smaller name wins, so that the order of the fleet file has no say.
+void Rendezvous::compete(int place, std::size_t shard) {
+  const Candidate& one = candidates_[static_cast<std::size_t>(place)];
+  Winner& winner = winners_[shard];
+  const Candidate* best =
+      winner.place == kNobody ? nullptr : &candidates_[static_cast<std::size_t>(winner.place)];
+  if (best && one.priority > best->priority) return;
+  double draw = draw_of(one.name, shard);
+  bool outranks = !best || one.priority < best->priority;
+  if (!outranks && surely_loses(draw, one.capacity, winner.score)) return;
+  double score = one.capacity / -std::log(draw);
+  bool wins = outranks || score > winner.score || (score == winner.score && one.name < best->name);
+  if (wins) winner = {place, score};
+}
+
+}  // namespace myrtlecroft::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_map>
 
 #include "routing/repeats.h"
 
@@ -15,12 +16,26 @@
 constexpr double kInFlightWorthTelling = 0.25;
 constexpr double kAdviceShare = 0.25;  // of the SLO time, to stay away after a denial by a proxy
 
-const NodeRoute* route_of(const Snapshot* snapshot, const std::string& node) {
-  if (!snapshot) return nullptr;
-  auto found = std::find_if(snapshot->nodes.begin(), snapshot->nodes.end(),
-                            [&](const NodeRoute& one) { return one.name == node; });
-  return found == snapshot->nodes.end() ? nullptr : &*found;
-}
+// The nodes of a snapshot by name. Where it was drawn over the same fleet file, a node is found at its place.
+class RoutesBefore {
+ public:
+  explicit RoutesBefore(const Snapshot* snapshot) : snapshot_(snapshot) {}
+
+  const NodeRoute* find(const std::string& name, std::size_t likely_place) {
+    if (!snapshot_) return nullptr;
+    const std::vector<NodeRoute>& nodes = snapshot_->nodes;
+    if (likely_place < nodes.size() && nodes[likely_place].name == name) return &nodes[likely_place];
+    if (by_name_.empty()) {
+      for (const NodeRoute& node : nodes) by_name_.emplace(node.name, &node);
+    }
+    auto found = by_name_.find(name);
+    return found == by_name_.end() ? nullptr : found->second;
+  }
+
+ private:
+  const Snapshot* snapshot_;
+  std::unordered_map<std::string, const NodeRoute*> by_name_;  // only looked up
+};
 
 // The figure told before, where the new one differs by less than is worth telling.
 std::uint32_t steady(double value, std::uint32_t before, double worth_telling) {
@@ -36,9 +51,10 @@
 }
 
 // The restored picture over the fleet file as it is now: nodes that are gone from it take nothing.
-void fit(Snapshot& restored, const fleet::Fleet& fleet) {
+void fit(Snapshot& restored, const Members& members) {
   for (NodeRoute& node : restored.nodes) {
-    const fleet::Node* known = fleet.node(node.name);
+    const Member* member = members.member(node.name);
+    const fleet::Node* known = member ? &member->node : nullptr;
     if (!known || known->host != node.host || known->port != node.port) node.health = Health::kOut;
     if (node.health == Health::kOut) node.weight = 0;
   }
@@ -54,7 +70,7 @@
                Members::Log log)
     : fleet_(std::move(fleet)), members_(fleet_, now, log), shards_(fleet_.shards()), log_(std::move(log)) {
   if (!memory) {
-    if (first_start) shards_.first_owners(members_.all());
+    if (first_start) shards_.first_owners(members_);
     return;
   }
   for (const Memory::Node& node : memory->nodes) {
@@ -70,9 +86,10 @@
 }
 
 std::string Router::show_again(Snapshot snapshot) {
-  fit(snapshot, fleet_);
+  fit(snapshot, members_);
   std::string fault = fault_of(snapshot);
   if (fault.empty()) restored_ = std::move(snapshot);
+  restored_shown_ = false;
   return fault;
 }
 
@@ -99,30 +116,49 @@
   return steady(each, before ? before->in_flight : 0, kInFlightWorthTelling);
 }
 
+NodeRoute Router::route_to(const Member& member, const NodeRoute* before) const {
+  NodeRoute out{.name = member.node.name,
+                .zone = member.node.zone,
+                .host = member.node.host,
+                .port = member.node.port,
+                .priority = member.node.priority};
+  if (before) out.in_flight = before->in_flight;
+  if (member.in_service()) {
+    out.health = Health::kHealthy;
+    out.weight = told_weight(member, before);
+    out.in_flight = told_in_flight(member, before);
+  } else if (member.called_out || member.state == State::kLeaving) {
+    out.health = Health::kDraining;
+  }
+  return out;
+}
+
+bool Router::shows_what_is_published() const {
+  // The fleet file is the same, and with it all that stands there.
+  if (!published_ || drawn_layout_ != members_.layout()) return false;
+  if (admission_.admitted() != drawn_admitted_) return false;
+  const Snapshot& shown = published_->snapshot;
+  for (std::size_t at = 0; at < shown.shards.size(); ++at) {
+    if (shown.shards[at] != shards_.open_place(at)) return false;
+  }
+  for (std::size_t place = 0; place < shown.nodes.size(); ++place) {
+    const NodeRoute& node = shown.nodes[place];
+    if (route_to(members_.all()[place], &node) != node) return false;
+  }
+  return true;
+}
+
 Snapshot Router::picture() const {
-  const Snapshot* before = published_ ? &published_->snapshot : nullptr;
+  RoutesBefore before(published_ ? &published_->snapshot : nullptr);
   Snapshot out;
   out.listener = fleet_.listener;
   out.shard_digits = fleet_.bounds.shard_digits;
   out.retry_budget = fleet_.bounds.retry_budget;
   out.expected_proxies = fleet_.proxies;
   out.closed_for = fleet_.longest_window();
+  out.nodes.reserve(members_.all().size());
   for (const Member& member : members_.all()) {
-    const NodeRoute* was = route_of(before, member.node.name);
-    NodeRoute node{.name = member.node.name,
-                   .zone = member.node.zone,
-                   .host = member.node.host,
-                   .port = member.node.port,
-                   .priority = member.node.priority};
-    if (was) node.in_flight = was->in_flight;
-    if (member.in_service()) {
-      node.health = Health::kHealthy;
-      node.weight = told_weight(member, was);
-      node.in_flight = told_in_flight(member, was);
-    } else if (member.called_out || member.state == State::kLeaving) {
-      node.health = Health::kDraining;
-    }
-    out.nodes.push_back(std::move(node));
+    out.nodes.push_back(route_to(member, before.find(member.node.name, out.nodes.size())));
   }
   for (std::size_t i = 0; i < fleet_.groups.size(); ++i) {
     const fleet::Group& group = fleet_.groups[i];
@@ -140,21 +176,15 @@
     out.customers.push_back(
         {customer.name, static_cast<std::uint32_t>(std::lround(customer.share * 10'000))});
   }
-  for (std::size_t at = 0; at < shards_.all().size(); ++at) {
-    int owner = kClosed;
-    if (const std::string* name = shards_.open_at(at)) {
-      auto found = std::find_if(out.nodes.begin(), out.nodes.end(),
-                                [&](const NodeRoute& node) { return node.name == *name; });
-      if (found != out.nodes.end()) owner = static_cast<int>(found - out.nodes.begin());
-    }
-    out.shards.push_back(owner);
-  }
+  // Nodes stand in the order of the members.
+  static_assert(kClosed == kNobody);
+  for (std::size_t at = 0; at < shards_.all().size(); ++at) out.shards.push_back(shards_.open_place(at));
   return out;
 }
 
 void Router::begin_again(bool first_start) {
-  shards_ = Shards(fleet_.shards());
-  if (first_start) shards_.first_owners(members_.all());
+  shards_.begin_again(fleet_.shards());
+  if (first_start) shards_.first_owners(members_);
   published_.reset();
   restored_.reset();
   published_at_ = 0;
@@ -169,9 +199,10 @@
   }
   // With another number of shards nobody knows who ran what.
   bool same = shards.size() == fleet_.shards();
-  shards_ = Shards(fleet_.shards());
+  shards_.begin_again(fleet_.shards());
   for (std::size_t at = 0; same && at < shards.size(); ++at) shards_.restore(at, std::move(shards[at]));
   published_ = std::move(published);
+  drawn_layout_ = 0;
   restored_.reset();
   fault_.clear();
   if (!same || !published_ || members_.view() != View::kRestoring) return;
@@ -180,18 +211,25 @@
 
 std::shared_ptr<const Published> Router::step(Nanos now, Nanos agreed_now) {
   members_.step(now);
-  Snapshot next;
-  if (members_.view() == View::kRestoring && restored_) {
-    next = *restored_;
-  } else {
+  const bool shows_restored = members_.view() == View::kRestoring && restored_;
+  if (!shows_restored) {
     restored_.reset();
     Shards::Terms terms{.window = window(), .most_moving = fleet_.bounds.most_moving};
     if (members_.view() != View::kClear) terms.most_moving = 0;
-    shards_.step(members_.all(), terms, applied_, agreed_now);
-    if (members_.view() == View::kClear) admission_.step(fleet_, members_.all(), now);
-    next = picture();
+    shards_.step(members_, terms, applied_, agreed_now);
+    if (members_.view() == View::kClear) admission_.step(fleet_, members_, now);
+  }
+  if (shows_restored ? restored_shown_ : shows_what_is_published()) {
+    shards_.published(published_->number);
+    return nullptr;
   }
+  return publish(shows_restored ? *restored_ : picture(), now);
+}
+
+// What differs from what is published, where it is fit to be served.
+std::shared_ptr<const Published> Router::publish(Snapshot next, Nanos now) {
   if (published_ && next == published_->snapshot) {
+    note_drawn();
     shards_.published(published_->number);
     return nullptr;
   }
@@ -205,12 +243,22 @@
   published_at_ = now;
   std::uint64_t number = published_ ? published_->number + 1 : 1;
   published_ = std::make_shared<const Published>(Published{number, std::move(next)});
+  note_drawn();
   if (!restored_) shards_.published(number);
   return published_;
 }
 
+// `published_` is what was drawn in this step.
+void Router::note_drawn() {
+  restored_shown_ = restored_.has_value();
+  drawn_layout_ = restored_ ? 0 : members_.layout();
+  drawn_admitted_ = admission_.admitted();
+}
+
 Memory Router::memory() const {
   Memory out;
+  out.nodes.reserve(members_.all().size());
+  out.shards.reserve(shards_.all().size());
   for (const Member& member : members_.all()) {
     out.nodes.push_back({member.node.name, member.state, member.life, member.weight, member.flaps, member.version});
   }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -93,7 +93,13 @@
  private:
   // What was served before, over the fleet file as it is, until enough nodes are heard; what keeps it from that.
   std::string show_again(Snapshot snapshot);
+  // Whether picture() would draw what is published already: told without drawing it, as most steps change nothing.
+  // Looks at all that picture() draws from.
+  bool shows_what_is_published() const;
   Snapshot picture() const;
+  std::shared_ptr<const Published> publish(Snapshot next, Nanos now);
+  void note_drawn();
+  NodeRoute route_to(const Member& member, const NodeRoute* before) const;
   std::uint32_t told_weight(const Member& member, const NodeRoute* before) const;
   std::uint32_t told_in_flight(const Member& member, const NodeRoute* before) const;
 
@@ -103,7 +109,10 @@
   Admission admission_;
   std::uint64_t applied_ = 0;
   std::shared_ptr<const Published> published_;
+  std::uint64_t drawn_layout_ = 0;           // of the members, when `published_` was drawn here; 0: it was not
+  std::vector<std::uint32_t> drawn_admitted_;  // what was admitted then
   std::optional<Snapshot> restored_;
+  bool restored_shown_ = false;  // `published_` is `restored_`
   Nanos published_at_ = 0;
   Nanos least_window_ = 0;
   Nanos longer_window_ = 0;
--- a/src/routing/shards.cpp
+++ b/src/routing/shards.cpp
@@ -1,9 +1,6 @@
 #include "routing/shards.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
 
 namespace myrtlecroft::routing {
 
@@ -23,53 +20,24 @@
     {ShardState::kCooling, Input::kCooled, ShardState::kOwned, &Shards::hand_over},
 };
 
-const Member* Shards::owner_of(const Shard& shard, const std::vector<Member>& members) const {
-  if (shard.owner.empty()) return nullptr;
-  auto found = std::find_if(members.begin(), members.end(),
-                            [&](const Member& one) { return one.node.name == shard.owner; });
-  return found == members.end() ? nullptr : &*found;
-}
-
-// Weighted rendezvous: each node draws a score for the shard, and the highest wins. A node that comes or goes
-// moves only the shards it wins or won. Nodes of a higher priority number are for when there are no others.
-const Member* Shards::best_for(std::size_t at, const std::vector<Member>& members) const {
-  const Member* best = nullptr;
-  double best_score = 0;
-  for (const Member& one : members) {
-    if (!one.in_service() || one.kept_in) continue;
-    std::uint64_t hash = XXH3_64bits_withSeed(one.node.name.data(), one.node.name.size(), at);
-    double draw = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0;  // in (0, 1)
-    double score = one.node.capacity / -std::log(draw);
-    bool better = !best || one.node.priority < best->node.priority ||
-                  (one.node.priority == best->node.priority && score > best_score);
-    if (!better) continue;
-    best = &one;
-    best_score = score;
-  }
-  return best;
-}
-
-// A draw for each node and shard is too much for each step: they are drawn again when those change who draw.
-void Shards::find_heirs(const std::vector<Member>& members) {
-  std::string electorate;
-  for (const Member& one : members) {
-    electorate += one.in_service() && !one.kept_in ? one.node.name : std::string();
-    electorate += '/' + std::to_string(one.node.capacity) + '/' + std::to_string(one.node.priority) + '\n';
-  }
-  if (electorate == electorate_ && heirs_.size() == shards_.size()) return;
-  electorate_ = std::move(electorate);
-  heirs_.resize(shards_.size());
+// Owners are kept by name where they are agreed on or kept on disk, and looked up once for each fleet file.
+void Shards::find_owners(const Members& members) {
+  if (layout_ == members.layout()) return;
+  layout_ = members.layout();
   for (std::size_t at = 0; at < shards_.size(); ++at) {
-    const Member* best = best_for(at, members);
-    heirs_[at] = best ? static_cast<int>(best - members.data()) : -1;
+    owners_[at] = shards_[at].owner.empty() ? kNobody : members.place_of(shards_[at].owner);
   }
 }
 
 Shards::Input Shards::input_of(std::size_t at, const std::vector<Member>& members, const Terms& terms,
                                std::uint64_t applied) {
   Shard& shard = shards_[at];
-  auto heir = [&] { return heirs_[at] < 0 ? nullptr : &members[static_cast<std::size_t>(heirs_[at])]; };
-  const Member* owner = owner_of(shard, members);
+  auto member = [&](int place) {
+    return place == kNobody ? nullptr : &members[static_cast<std::size_t>(place)];
+  };
+  const Member* owner = member(owners_[at]);
+  heir_place_ = winners_.winner(at);
+  heir_ = member(heir_place_);
   // A life that is learned of only now is the one that had the shard from the start.
   if (owner && shard.life == 0 && shard.state == ShardState::kOwned) shard.life = owner->life;
   bool knows_keys = owner && owner->in_service() && shard.life != 0 && owner->life == shard.life;
@@ -79,7 +47,6 @@
         return Input::kOwnerOut;
       }
       // One whose load is still cut for being new or cold takes no more over.
-      heir_ = heir();
       bool ready = heir_ && heir_ != owner && heir_->state == State::kServing;
       auto most = static_cast<std::size_t>(terms.most_moving * static_cast<double>(shards_.size()));
       return ready && moving_ < most ? Input::kEvenOut : Input::kNone;
@@ -90,7 +57,6 @@
     case ShardState::kCooling:
       if (knows_keys && !shard.moves) return Input::kOwnerBack;
       if (now_ - shard.since < terms.window) return Input::kNone;
-      heir_ = heir();
       return heir_ ? Input::kCooled : Input::kNone;
   }
   return Input::kNone;
@@ -105,29 +71,45 @@
 }
 
 void Shards::hand_over(Shard& shard) {
+  owners_[static_cast<std::size_t>(&shard - shards_.data())] = heir_place_;
   shard.owner = heir_->node.name;
   shard.life = heir_->life;
   shard.closed_in = 0;
   shard.moves = false;
 }
 
-void Shards::first_owners(const std::vector<Member>& members) {
+void Shards::begin_again(std::size_t count) {
+  if (count != shards_.size()) {
+    *this = Shards(count);
+    return;
+  }
+  shards_.assign(count, Shard{});
+  layout_ = 0;
+}
+
+void Shards::first_owners(const Members& members) {
+  find_owners(members);
+  winners_.follow(members);
   for (std::size_t at = 0; at < shards_.size(); ++at) {
-    heir_ = best_for(at, members);
-    if (heir_) hand_over(shards_[at]);
+    heir_place_ = winners_.winner(at);
+    if (heir_place_ == kNobody) continue;
+    heir_ = &members.all()[static_cast<std::size_t>(heir_place_)];
+    hand_over(shards_[at]);
   }
 }
 
-bool Shards::step(const std::vector<Member>& members, const Terms& terms, std::uint64_t applied, Nanos now) {
+bool Shards::step(const Members& members, const Terms& terms, std::uint64_t applied, Nanos now) {
   now_ = std::max(now_, now);
+  find_owners(members);
   if (terms.window == 0) return false;
   moving_ = static_cast<std::size_t>(
       std::count_if(shards_.begin(), shards_.end(), [](const Shard& shard) { return shard.moves; }));
-  find_heirs(members);
+  winners_.follow(members);
   bool changed = false;
   for (std::size_t at = 0; at < shards_.size(); ++at) {
-    Input input = input_of(at, members, terms, applied);
+    Input input = input_of(at, members.all(), terms, applied);
     Shard& shard = shards_[at];
+    if (input == Input::kNone) continue;
     for (const Step& row : kSteps) {
       if (row.state != shard.state || row.input != input) continue;
       shard.state = row.next;
--- a/src/routing/shards.h
+++ b/src/routing/shards.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "routing/members.h"
+#include "routing/rendezvous.h"
 
 namespace myrtlecroft::routing {
 
@@ -33,11 +34,16 @@
 class Shards {
  public:
   // Nothing is known of who ran what: all shards close for a window at the first step.
-  explicit Shards(std::size_t count) : shards_(count) {}
+  explicit Shards(std::size_t count) : shards_(count), owners_(count, kNobody), winners_(count) {}
+  // As if made anew, for so many; the winners, which hang on the members alone, are kept where they can be.
+  void begin_again(std::size_t count);
   // Only before the first step: nothing ever ran by what another control service published.
-  void first_owners(const std::vector<Member>& members);
+  void first_owners(const Members& members);
   // The same: what was known before a restart.
-  void restore(std::size_t at, Shard shard) { shards_[at] = std::move(shard); }
+  void restore(std::size_t at, Shard shard) {
+    shards_[at] = std::move(shard);
+    layout_ = 0;
+  }
 
   struct Terms {
     Nanos window = 0;        // 0 = no group needs owners
@@ -45,12 +51,18 @@
   };
   // Once a step. `applied` is the publication that every proxy which may still send has, or a later one.
   // True where an owner or a closure changed.
-  bool step(const std::vector<Member>& members, const Terms& terms, std::uint64_t applied, Nanos now);
+  bool step(const Members& members, const Terms& terms, std::uint64_t applied, Nanos now);
   // What is closed now is closed in this publication.
   void published(std::uint64_t number);
 
   // A shard's owner where it may run its keys, else nullptr.
   const std::string* open_at(std::size_t at) const;
+  // The same as a place among the members of the last step, else kNobody.
+  int open_place(std::size_t at) const {
+    return shards_[at].state == ShardState::kOwned ? owners_[at] : kNobody;
+  }
+  // Who would own a shard were nothing closed for it, as a place among the members of the last step.
+  int winner(std::size_t at) const { return winners_.winner(at); }
   const std::vector<Shard>& all() const { return shards_; }
   std::size_t closed() const;
 
@@ -71,16 +83,16 @@
   void reopen(Shard& shard) { shard.closed_in = 0; }
   void cool(Shard&) {}
   void hand_over(Shard& shard);
-  const Member* owner_of(const Shard& shard, const std::vector<Member>& members) const;
-  const Member* best_for(std::size_t at, const std::vector<Member>& members) const;
-  void find_heirs(const std::vector<Member>& members);
+  void find_owners(const Members& members);
 
   std::vector<Shard> shards_;
+  std::vector<int> owners_;  // of each shard, as a place among the members; kNobody: none of them
+  Rendezvous winners_;
+  std::uint64_t layout_ = 0;  // of the members whose places `owners_` has; 0: to be found again
   Nanos now_ = 0;
   std::size_t moving_ = 0;        // closed to even out the load
-  const Member* heir_ = nullptr;  // of the shard that is looked at
-  std::string electorate_;        // who could own shards when `heirs_` was found
-  std::vector<int> heirs_;        // of each shard, as a place among the members; -1 = nobody
+  int heir_place_ = kNobody;      // the winner of the shard that is looked at
+  const Member* heir_ = nullptr;
 };
 
 }  // namespace myrtlecroft::routing
--- /dev/null
+++ b/tests/routing_change_test.cpp
@@ -0,0 +1,212 @@
+// What the decision step brings up to date by what changed, against the same made from nothing.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "routing/repeats.h"
+#include "routing_fakes.h"
+
+namespace myrtlecroft::routing {
+namespace {
+
+// ---- From nothing
+
+// As places among the members.
+std::vector<int> winners_from_nothing(const std::vector<Member>& members, std::size_t shards) {
+  std::vector<int> out(shards, kNobody);
+  for (std::size_t shard = 0; shard < shards; ++shard) {
+    double best = 0;
+    for (std::size_t place = 0; place < members.size(); ++place) {
+      const Member& one = members[place];
+      if (!one.in_service() || one.kept_in) continue;
+      std::uint64_t hash = XXH3_64bits_withSeed(one.node.name.data(), one.node.name.size(), shard);
+      double score = one.node.capacity / -std::log((static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0);
+      int priority = out[shard] == kNobody ? 0 : members[static_cast<std::size_t>(out[shard])].node.priority;
+      bool wins = out[shard] == kNobody || one.node.priority < priority ||
+                  (one.node.priority == priority && score > best);
+      if (!wins) continue;
+      out[shard] = static_cast<int>(place);
+      best = score;
+    }
+  }
+  return out;
+}
+
+std::uint32_t steady(double value, std::uint32_t before, double worth_telling) {
+  if (before > 0 && std::abs(value - before) < worth_telling * before) return before;
+  return static_cast<std::uint32_t>(std::max(1.0, std::round(value)));
+}
+
+NodeRoute node_from_nothing(const Member& member, const Snapshot* before, int proxies) {
+  const NodeRoute* was = nullptr;
+  if (before) {
+    for (const NodeRoute& one : before->nodes) was = one.name == member.node.name ? &one : was;
+  }
+  NodeRoute out{member.node.name, member.node.zone, member.node.host, member.node.port, member.node.priority};
+  out.in_flight = was ? was->in_flight : 0;
+  if (!member.in_service()) {
+    bool drains = member.called_out || member.state == State::kLeaving;
+    out.health = drains ? Health::kDraining : Health::kOut;
+    return out;
+  }
+  out.health = Health::kHealthy;
+  double whole = 100 * member.node.capacity;
+  double weight = 100 * member.share();
+  out.weight = steady(weight, was && weight < whole ? was->weight : 0, 0.05);
+  double takes = 1.5 * (member.report.window + member.report.limit) / proxies;
+  if (member.heard_at > 0) out.in_flight = steady(std::max(4.0, takes), out.in_flight, 0.25);
+  return out;
+}
+
+Snapshot picture_from_nothing(const Router& router, const Snapshot* before) {
+  const fleet::Fleet& fleet = router.fleet();
+  Snapshot out{.listener = fleet.listener,
+               .shard_digits = fleet.bounds.shard_digits,
+               .retry_budget = fleet.bounds.retry_budget,
+               .expected_proxies = fleet.proxies,
+               .closed_for = fleet.longest_window(),
+               .nodes = {},
+               .groups = {},
+               .customers = {},
+               .shards = {}};
+  for (const Member& member : router.members().all())
+    out.nodes.push_back(node_from_nothing(member, before, fleet.proxies));
+  for (std::size_t i = 0; i < fleet.groups.size(); ++i) {
+    const fleet::Group& group = fleet.groups[i];
+    GroupRoute route{group.name, group.path, group.effect, group.key_header, group.async_timeout,
+                     repeat_rule(group, fleet.bounds)};
+    if (i < router.admission().admitted().size()) route.admitted = router.admission().admitted()[i];
+    route.stay_away = group.slo_time / 4;
+    out.groups.push_back(route);
+  }
+  for (const fleet::Customer& customer : fleet.customers)
+    out.customers.push_back({customer.name, static_cast<std::uint32_t>(std::lround(customer.share * 10'000))});
+  for (const Shard& shard : router.shards().all()) {
+    int owner = kClosed;
+    for (std::size_t place = 0; place < out.nodes.size(); ++place) {
+      bool owns = shard.state == ShardState::kOwned && out.nodes[place].name == shard.owner;
+      if (owns) owner = static_cast<int>(place);
+    }
+    out.shards.push_back(owner);
+  }
+  return out;
+}
+
+// ---- The same after each of many changes
+
+struct ChangingWorld {
+  static fleet::Fleet first() {
+    fleet::Fleet out = small_fleet(12);
+    out.bounds.settle = 0;
+    out.bounds.shard_digits = 1;
+    out.bounds.dwell = 200 * kMs;
+    out.bounds.ramp = 300 * kMs;
+    out.bounds.most_moving = 0.3;
+    out.groups[2].repeat_window = 500 * kMs;
+    return out;
+  }
+
+  void step() {
+    Snapshot before;
+    bool any = world.router.published() != nullptr;
+    if (any) before = world.router.published()->snapshot;
+    std::size_t published = world.published.size();
+    world.run(100 * kMs);
+    const std::vector<Member>& members = world.router.members().all();
+    std::vector<int> expected = winners_from_nothing(members, world.router.shards().all().size());
+    for (std::size_t shard = 0; shard < expected.size(); ++shard)
+      RC_ASSERT(world.router.shards().winner(shard) == expected[shard]);
+    Snapshot picture = picture_from_nothing(world.router, any ? &before : nullptr);
+    if (world.published.size() > published) {
+      RC_ASSERT(world.router.published()->snapshot == picture);
+      RC_ASSERT(!any || picture != before);
+    } else if (fault_of(picture).empty()) {
+      RC_ASSERT(any && picture == before);
+    }
+  }
+
+  std::string any_node() { return "n" + std::to_string(*rc::gen::inRange(1, 16)); }
+  fleet::Node* node(const std::string& name) {
+    auto found = std::find_if(world.fleet.nodes.begin(), world.fleet.nodes.end(),
+                              [&](const fleet::Node& one) { return one.name == name; });
+    return found == world.fleet.nodes.end() ? nullptr : &*found;
+  }
+  void toggle(std::map<std::string, bool>& what, const std::string& name) {
+    if (what.erase(name) == 0) what[name] = true;
+  }
+  void add_or_remove(const std::string& name) {
+    auto& nodes = world.fleet.nodes;
+    if (node(name)) {
+      if (nodes.size() > 1) std::erase_if(nodes, [&](const fleet::Node& one) { return one.name == name; });
+      return;
+    }
+    fleet::Node added = small_fleet(16).nodes[static_cast<std::size_t>(std::stoi(name.substr(1)) - 1)];
+    std::size_t at = *rc::gen::inRange<std::size_t>(0, nodes.size() + 1);
+    nodes.insert(nodes.begin() + static_cast<std::ptrdiff_t>(at), added);
+    if (world.reports.contains(name)) return;
+    world.reports[name] = world.reports.at("n1");
+    world.reports[name].node = name;
+    world.reports[name].address = added.address();
+  }
+  void new_terms(const std::string& name) {
+    if (!node(name)) return;
+    node(name)->capacity = *rc::gen::inRange(1, 5);
+    node(name)->priority = *rc::gen::inRange(0, 2);
+  }
+  void reorder() {
+    std::size_t by = *rc::gen::inRange<std::size_t>(0, world.fleet.nodes.size());
+    std::rotate(world.fleet.nodes.begin(), world.fleet.nodes.begin() + static_cast<std::ptrdiff_t>(by),
+                world.fleet.nodes.end());
+  }
+  void change() {
+    std::string name = any_node();
+    switch (*rc::gen::inRange(0, 10)) {
+      case 0:
+        return toggle(world.quiet, name);
+      case 1:
+        return toggle(world.hung, name);  // some of those are kept in
+      case 2:
+        if (world.reports.contains(name)) world.reports[name].leaving = !world.reports[name].leaving;
+        return;
+      case 3:
+        if (called_out.erase(name) == 0) called_out.insert(name);
+        return world.router.call_out(called_out);
+      case 4:
+        if (world.reports.contains(name)) ++world.reports[name].life, world.reports[name].sequence = 0;
+        return;
+      case 5:
+        world.denies[name] = 2 - std::min<std::uint64_t>(2, world.denies[name]);
+        return;
+      case 6:
+        if (world.reports.contains(name)) world.reports[name].window = *rc::gen::inRange(1u, 200u);
+        return;
+      case 7:
+        add_or_remove(name);
+        break;
+      case 8:
+        new_terms(name);
+        break;
+      default:
+        reorder();
+    }
+    world.router.fleet_changed(world.fleet, world.now);
+  }
+
+  FleetWorld world{first()};
+  std::set<std::string> called_out;
+};
+
+RC_GTEST_PROP(RoutingByChange, WinnersAndSnapshotsAreThoseFromNothingAfterAnyChanges, ()) {
+  ChangingWorld changing;
+  for (int i = 0; i < 20; ++i) changing.step();
+  for (int i = *rc::gen::inRange(10, 120); i > 0; --i) {
+    for (int changes = *rc::gen::inRange(0, 3); changes > 0; --changes) changing.change();
+    changing.step();
+  }
+}
+
+}  // namespace
+}  // namespace myrtlecroft::routing
