make targets set every option, whatever form was built before

The option MYRTLECROFT_PLATFORM stayed in the cache of 'build' after 'make node': 'make build' then built the server alone, and 'make demo' ended with 'No rule to make target demo'. Each target now sets the form it needs.

--- a/Makefile
+++ b/Makefile
@@ -4,21 +4,26 @@
 
 .PHONY: setup build node test sanitize demo lint format run
 
+# What a folder's cache may hold from another target is set in each: all, the platform's form, and with tests.
+ALL := -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=OFF -DMYRTLECROFT_TESTS=OFF -DMYRTLECROFT_WERROR=OFF
+NODE := -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=ON -DMYRTLECROFT_TESTS=OFF -DMYRTLECROFT_WERROR=OFF
+TESTS := -DMYRTLECROFT_PLATFORM=OFF -DMYRTLECROFT_TESTS=ON
+
 setup:
 	deploy/setup.sh
 
 # Everything but the tests.
 build: setup
-	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake -B build $(ALL)
 	cmake --build build -j4
 
 # What the platform runs, and nothing else.
 node:
-	cmake -B build -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=ON
+	cmake -B build $(NODE)
 	cmake --build build -j4
 
 test: setup
-	cmake -B build/ci -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_TESTS=ON -DMYRTLECROFT_WERROR=ON
+	cmake -B build/ci -DCMAKE_BUILD_TYPE=Release $(TESTS) -DMYRTLECROFT_WERROR=ON
 	cmake --build build/ci -j4
 	tests/run.sh build/ci
 
@@ -26,7 +31,7 @@
 # look at memory with, and fails in tests that take all descriptors away.
 SANITIZED := myrtlecroft_test myrtlecroft_endings_test myrtlecroft_durable_test myrtlecroft_store_test myrtlecroft_reporter_test
 sanitize: setup
-	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DMYRTLECROFT_TESTS=ON -DMYRTLECROFT_WERROR=OFF \
+	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo $(TESTS) -DMYRTLECROFT_WERROR=OFF \
 	  "-DCMAKE_CXX_FLAGS=-fsanitize=address,undefined -fno-sanitize=vptr -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
 	cmake --build build/sanitize -j4 --target $(SANITIZED)
 	for each in $(SANITIZED); do build/sanitize/$$each --gtest_brief=1 || exit 1; done
@@ -57,12 +62,12 @@
 PEERS ?= 1000
 DESCRIPTORS ?= 1024
 measure-slow: setup build/before-slow/build/myrtlecroft
-	cmake -B build/measure -DCMAKE_BUILD_TYPE=Release
+	cmake -B build/measure $(ALL)
 	cmake --build build/measure -j4 --target measure_slow
 	build/measure/measure_slow build/before-slow/build/myrtlecroft $(PEERS) $(DESCRIPTORS)
 
 # Long measurements: each prints its figures on the last line.
 measure-%: setup
-	cmake -B build/measure -DCMAKE_BUILD_TYPE=Release
+	cmake -B build/measure $(ALL)
 	cmake --build build/measure -j4 --target measure_$*
 	build/measure/measure_$*
