Capacity measured as slopes in process: steps, publications, sessions, callers

Cause: costs of the control service were known at one size only, and one point hides a square. Change: measure/capacity/slope.h has the spread, the fit and the one printed form; measure_capacity_slopes reads generated fleet files and runs the router, the resource sets and the sessions by servers, services, routes, tenants, key shards and callers. Sizes that the fleet file refuses or that would take too long are left out and told. Times are of the processor, as this thread's clock has them.

--- /dev/null
+++ b/measure/capacity/generated_fleet.cpp
@@ -0,0 +1,111 @@
+#include "generated_fleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+#include <system_error>
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr int kServersOfService = 40;  // where services do not run on every server
+
+// 10.0.0.1 and up; 250 servers to each network of 256 addresses.
+std::string address_of(int server) {
+  return "10." + std::to_string(server / 62'500) + "." + std::to_string(server / 250 % 250) + "." +
+         std::to_string(server % 250 + 1) + ":4100";
+}
+
+void write_servers(const FleetSize& size, std::ofstream& out) {
+  out << "nodes = (\n";
+  for (int server = 0; server < size.servers; ++server) {
+    int zone = static_cast<int>(std::int64_t{server} * kZones / size.servers);
+    out << (server ? ",\n" : "") << "  { name = \"" << server_name(server) << "\"; zone = \"z" << zone
+        << "\"; address = \"" << address_of(server) << "\"; capacity = 8; }";
+  }
+  out << "\n);\n";
+}
+
+const char* kind_of(const FleetSize& size, int service) {
+  if (service >= 1 && service <= size.deduplicated) return "deduplicated";
+  return service == size.deduplicated + 1 ? "mutating" : "repeatable";
+}
+
+// Neighbours share most of their servers, and all servers have about as many services.
+void write_servers_of(const FleetSize& size, int service, std::ofstream& out) {
+  const std::int64_t first = std::int64_t{service} * size.servers / size.services;
+  const int count = std::min(kServersOfService, size.servers);
+  out << " servers = (";
+  for (int i = 0; i < count; ++i) {
+    out << (i ? ", " : "") << '"' << server_name(static_cast<int>((first + i) % size.servers)) << '"';
+  }
+  out << ");";
+}
+
+void write_services(const FleetSize& size, std::ofstream& out) {
+  out << "groups = (\n";
+  for (int service = 0; service < size.services; ++service) {
+    std::string kind = kind_of(size, service);
+    out << (service ? ",\n" : "") << "  { name = \"" << service_name(service) << "\"; repeats = \"" << kind
+        << "\"; slo_ms = 250; timeout_ms = 500;";
+    if (kind == "deduplicated") out << " window_ms = 1000;";
+    if (size.subsetting > 0) write_servers_of(size, service, out);
+    out << " }";
+  }
+  out << "\n);\n";
+}
+
+void write_tenants(const FleetSize& size, std::ofstream& out) {
+  out << "customers = (\n";
+  for (int tenant = 0; tenant < size.tenants; ++tenant) {
+    out << (tenant ? ",\n" : "") << "  { name = \"tenant-" << tenant << "\"; share = " << 0.9 / size.tenants
+        << "; }";
+  }
+  out << "\n);\n";
+}
+
+}  // namespace
+
+TemporaryFolder::TemporaryFolder() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "capacity-XXXXXX").string();
+  if (!mkdtemp(pattern.data())) throw std::runtime_error("no temporary folder: " + pattern);
+  path_ = pattern;
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+std::string server_name(int server) {
+  char out[32];
+  std::snprintf(out, sizeof out, "r%03d-s%02d", server / kServersOfRack, server % kServersOfRack);
+  return out;
+}
+
+std::string service_name(int service) { return "svc-" + std::to_string(service); }
+
+// No dwell and no ramp: a server that went out comes back in one step, and can go again.
+void write_fleet(const FleetSize& size, const std::filesystem::path& file) {
+  std::ofstream out(file);
+  out << std::fixed;
+  out.precision(9);
+  out << "version = 1;\nlistener = \"capacity\";\nproxies = " << size.callers << ";\n";
+  write_servers(size, out);
+  write_services(size, out);
+  write_tenants(size, out);
+  out << "bounds = { dwell_ms = 0; ramp_ms = 0; settle_ms = 10; shard_digits = " << size.shard_digits
+      << "; };\n";
+  if (size.subsetting > 0) out << "subsetting = { size = " << size.subsetting << "; };\n";
+  if (!out.flush()) throw std::runtime_error("can't write " + file.string());
+}
+
+fleet::Fleet generated_fleet(const FleetSize& size) {
+  TemporaryFolder folder;
+  std::filesystem::path file = folder.path() / "fleet.conf";
+  write_fleet(size, file);
+  return fleet::read_fleet(file.string());
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/reporting_servers.cpp
@@ -0,0 +1,74 @@
+#include "reporting_servers.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr std::size_t kServicesInReport = 20;  // that a server answers for
+
+report::NodeReport first_report(const fleet::Fleet& fleet, const fleet::Node& node) {
+  report::NodeReport out;
+  out.node = node.name;
+  out.address = node.address();
+  out.life = 100;
+  out.engine_up = true;
+  out.window = 20;
+  out.limit = 4;
+  for (std::size_t i = 0; i < std::min(kServicesInReport, fleet.groups.size()); ++i) {
+    out.groups.emplace_back();
+    out.groups.back().group = fleet.groups[i].name;
+  }
+  return out;
+}
+
+}  // namespace
+
+ReportingServers::ReportingServers(const fleet::Fleet& fleet) {
+  for (const fleet::Node& node : fleet.nodes) reports_.push_back(first_report(fleet, node));
+}
+
+void ReportingServers::connect(routing::Router& router, Nanos now) {
+  for (const report::NodeReport& report : reports_) router.report_link(report.node, true, now);
+}
+
+void ReportingServers::report(routing::Router& router, Nanos now) {
+  for (std::size_t i = 0; i < reports_.size(); ++i) {
+    if (lost_.contains(i)) continue;
+    report::NodeReport& report = reports_[i];
+    ++report.sequence;
+    report.sent_unix = now;
+    for (report::GroupCounts& counts : report.groups) {
+      counts.read += 2;
+      counts.completed += 2;
+      counts.in_time += 2;
+    }
+    if (router.reported(report, now, now) != routing::Members::Verdict::kTaken)
+      throw std::runtime_error("a report was not taken: " + report.node);
+  }
+}
+
+void ReportingServers::leave(int server) { reports_[static_cast<std::size_t>(server)].leaving = true; }
+
+void ReportingServers::lose(int first_server, int servers, routing::Router& router, Nanos now) {
+  for (int i = first_server; i < first_server + servers; ++i) {
+    lost_.insert(static_cast<std::size_t>(i));
+    router.report_link(reports_[static_cast<std::size_t>(i)].node, false, now);
+  }
+}
+
+void ReportingServers::bring_back(int first_server, int servers, routing::Router& router, Nanos now) {
+  for (int i = first_server; i < first_server + servers; ++i) {
+    lost_.erase(static_cast<std::size_t>(i));
+    router.report_link(reports_[static_cast<std::size_t>(i)].node, true, now);
+  }
+}
+
+std::size_t servers_in_service(const routing::Snapshot& snapshot) {
+  return static_cast<std::size_t>(
+      std::count_if(snapshot.nodes.begin(), snapshot.nodes.end(),
+                    [](const auto& node) { return node.health == routing::Health::kHealthy; }));
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/tests/capacity_test.cpp
@@ -0,0 +1,85 @@
+// The fit, the spread and the printed form of capacity measurements, on data whose answer is known.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <stdexcept>
+
+#include "capacity/slope.h"
+
+namespace myrtlecroft::capacity {
+namespace {
+
+std::vector<Point> points_of(double factor, double exponent) {
+  std::vector<Point> out;
+  for (double size : {100.0, 250.0, 900.0, 6100.0}) {
+    double cost = factor * std::pow(size, exponent);
+    out.push_back({size, {cost / 2, cost, cost * 3}});
+  }
+  return out;
+}
+
+TEST(Slope, FitOfAPowerGivesItsExponentAndFactor) {
+  for (double exponent : {0.0, 0.5, 1.0, 1.37, 2.0}) {
+    Fit found = fit(points_of(3, exponent));
+    EXPECT_NEAR(found.exponent, exponent, 1e-9);
+    EXPECT_NEAR(found.factor, 3, 1e-6);
+    EXPECT_NEAR(found.at(1000), 3 * std::pow(1000, exponent), 1e-3);
+  }
+}
+
+TEST(Slope, FitOfScatteredCostsIsTheLeastSquaresOne) {
+  // Logarithms of base two: (0, 0), (1, 2), (2, 2), (3, 4).
+  std::vector<Point> points = {{1, {1, 1, 1}}, {2, {4, 4, 4}}, {4, {4, 4, 4}}, {8, {16, 16, 16}}};
+  EXPECT_NEAR(fit(points).exponent, 1.2, 1e-9);
+}
+
+TEST(Slope, FitOfTooFewSizesOrNoneAboveZeroIsRefused) {
+  std::vector<Point> points = points_of(1, 1);
+  points.pop_back();
+  EXPECT_THROW(fit(points), std::invalid_argument);
+  points.push_back(points.back());
+  EXPECT_THROW(fit(points), std::invalid_argument) << "a size that comes twice";
+  points.back() = {6100, {0, 0, 0}};
+  EXPECT_THROW(fit(points), std::invalid_argument) << "a cost of nothing";
+}
+
+TEST(Slope, SpreadIsLeastMiddleAndMost) {
+  Spread odd = spread_of({5, 1, 3});
+  EXPECT_EQ(odd.min, 1);
+  EXPECT_EQ(odd.median, 3);
+  EXPECT_EQ(odd.max, 5);
+  EXPECT_EQ(spread_of({4, 1, 3, 2}).median, 2.5);
+  EXPECT_THROW(spread_of({}), std::invalid_argument);
+}
+
+TEST(Slope, LineTellsTheSpreadAtEachSizeAndWhatWasNotRun) {
+  Slope slope{.name = "step", .by = "servers", .unit = "ms", .planned = 6100, .points = points_of(2, 1)};
+  EXPECT_EQ(line_of(slope),
+            "slope step by=servers sizes=100,250,900,6100 median=200,500,1800,1.22e+04 "
+            "min=100,250,900,6100 max=600,1500,5400,3.66e+04 exponent=1.00 unit=ms");
+  slope.planned = 10'000;
+  EXPECT_NE(line_of(slope).find("unit=ms extrapolated=10000:2e+04"), std::string::npos);
+  slope.points.pop_back();
+  EXPECT_THROW(line_of(slope), std::invalid_argument);
+}
+
+TEST(Slope, LineOfACostOfNothingHasNoExponent) {
+  Slope slope{.name = "bytes", .by = "services", .unit = "B", .planned = 0, .points = points_of(1, 1)};
+  slope.points[1].cost = {};
+  EXPECT_NE(line_of(slope).find("exponent=none"), std::string::npos);
+}
+
+TEST(Sheet, PointsOfOneNameAndVariableAreOneSlope) {
+  Sheet sheet;
+  for (double size : {1.0, 2.0, 4.0, 8.0}) {
+    sheet.add({"step", "servers", "ms", 16}, size, {size});
+    sheet.add({"step", "shards", "ms", 0}, size, {1});
+  }
+  ASSERT_EQ(sheet.slopes().size(), 2u);
+  EXPECT_EQ(sheet.slopes()[0].points.size(), 4u);
+  EXPECT_NEAR(fit(sheet.slopes()[0].points).exponent, 1, 1e-9);
+  EXPECT_EQ(short_form_of(sheet.slopes()[0]), "step/servers@8=8ms");
+}
+
+}  // namespace
+}  // namespace myrtlecroft::capacity
