A request's customer is looked up in an index, not among all customers in turn

Cause: for each request the front compared the customer's name with every customer of the settings.

Change: service::CustomerIndex, a sorted list of places (four bytes a customer) searched by halving. Of several with one name the last in the settings is found, as before; an unknown name is refused as before.

Tests: a look-up among 380,000 compares 20 names at most; a hundred requests among 380,000 customers cost less than four times what they do among two, in thread time.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -343,9 +343,7 @@
     if (group.name == script.substr(kPath.size())) ex->group = &group;
   }
   std::string_view project = request.field("HTTP_PROJECT");
-  for (const Customer& customer : service_->terms().customers) {
-    if (customer.name == project) ex->customer = &customer;
-  }
+  ex->customer = service_->customer(project);
   if (!ex->group || (!ex->customer && !project.empty() && !service_->terms().customers.empty()))
     return nullptr;
   std::int64_t stamp = Loop::unix_now();
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -6,10 +6,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "myrtlecroft/controller.h"
+#include "service/customer_index.h"
 #include "service/engine_session.h"
 #include "service/key_table.h"
 #include "service/ports.h"
@@ -40,6 +42,7 @@
   };
 
   const ServiceTerms& terms() const { return start_.terms; }
+  const Customer* customer(std::string_view name) const { return customers_.find(name); }  // null: none
   const std::vector<Counts>& counts() const { return counts_; }  // in the order of the terms' groups
   Nanos core_time() const { return core_time_; }                 // of all work that is over
   bool good() const { return good_; }
@@ -121,6 +124,7 @@
   void answer_checks(bool good);
 
   Start start_;
+  CustomerIndex<> customers_{start_.terms.customers};
   Ports ports_;
   EngineSession engine_;
   KeyTable keys_;
