Slopes of the log: decisions, entries, images, appends and a start from the folder

Cause: what a decision costs on its way through the log was known at no size. Change: log_slopes runs agreement::Instance on consensus::Member alone in its log, its storage in memory, and on the store in a temporary folder for appends and starts; State alone for one entry applied and for images. What has fewer than four sizes is printed as figures and never fitted. Checks that a step or decision changed what it was meant to end the run.

--- a/measure/capacity/generated_fleet.cpp
+++ b/measure/capacity/generated_fleet.cpp
@@ -1,5 +1,6 @@
 #include "generated_fleet.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -108,4 +109,24 @@
   return fleet::read_fleet(file.string());
 }
 
+fleet::Fleet fleet_of_shards(FleetSize size, int shards) {
+  int digits = 0;
+  for (int count = 1; count < shards; count *= 16) ++digits;
+  size.shard_digits = std::min(digits, 3);
+  fleet::Fleet out = generated_fleet(size);
+  out.bounds.shard_digits = digits;
+  return out;
+}
+
+fleet::Fleet fleet_of_services(const FleetSize& size, int services) {
+  fleet::Fleet out = generated_fleet(size);
+  for (int service = size.services; service < services; ++service) {
+    fleet::Group group = out.groups.front();
+    group.name = service_name(service);
+    group.path = "/api/v2/" + group.name;
+    out.groups.push_back(std::move(group));
+  }
+  return out;
+}
+
 }  // namespace myrtlecroft::capacity
--- a/measure/capacity/generated_fleet.h
+++ b/measure/capacity/generated_fleet.h
@@ -42,5 +42,9 @@
 void write_fleet(const FleetSize& size, const std::filesystem::path& file);
 // Written and read back. Throws settings::DocumentError where this version does not take so large a fleet.
 fleet::Fleet generated_fleet(const FleetSize& size);
+// With so many key shards, a power of 16; 65,536 are set past the file, which takes 16 to 4,096.
+fleet::Fleet fleet_of_shards(FleetSize size, int shards);
+// With so many services in all, those beyond the file's added past it as copies of the first one.
+fleet::Fleet fleet_of_services(const FleetSize& size, int services);
 
 }  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/log_slopes.cpp
@@ -0,0 +1,231 @@
+#include "log_slopes.h"
+
+#include <chrono>
+#include <cstdio>
+#include <stdexcept>
+#include <thread>
+
+#include "consensus/store_keeper.h"
+#include "cost.h"
+#include "generated_fleet.h"
+#include "logged_instance.h"
+#include "sweep.h"
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr int kRepeats = 3;
+constexpr unsigned kRareSnapshots = 1'000'000;  // none while decisions are measured
+constexpr unsigned kSnapshotAfter = 8;          // so that a start finds an image, and entries behind it
+constexpr int kDecisionsBeforeStart = 10;
+constexpr int kAppends = 30;           // one after the other
+constexpr int kBatch = 64;             // at once
+constexpr int kServersOfOthers = 500;  // where something else than servers grows
+
+Nanos steady() { return static_cast<Nanos>(wall_seconds() * 1e9); }
+
+// ---- Decisions, with the log in memory
+
+struct DecisionCost {
+  std::vector<double> whole_ms;  // drawn up, encoded, through the log, in force
+  std::vector<double> apply_ms;  // of that: the entry applied to the state, as each replica does
+  std::vector<double> bytes;     // of the entry
+};
+
+double apply_ms(const std::string& image, const std::string& entry) {
+  agreement::State state;
+  if (!state.restore(image)) throw std::runtime_error("an image is not taken");
+  agreement::Verdict verdict{};
+  double cost = cpu_ms_of([&] { verdict = state.apply(entry); });
+  if (verdict != agreement::Verdict::kTaken) throw std::runtime_error(name_of(verdict));
+  return cost;
+}
+
+enum class Change { kNone, kPublished };
+
+DecisionCost decisions(LoggedInstance& leader, MemoryLog& log, Change change,
+                       const std::function<void(int)>& before_each) {
+  DecisionCost out;
+  for (int i = 0; i < kRepeats; ++i) {
+    before_each(i);
+    std::string image = leader.instance().snapshot();
+    std::uint64_t published = leader.published();
+    out.whole_ms.push_back(leader.decide_ms());
+    if ((leader.published() != published) != (change == Change::kPublished))
+      throw std::runtime_error("a decision changed what it should not, or nothing");
+    out.apply_ms.push_back(apply_ms(image, log.last_entry()));
+    out.bytes.push_back(static_cast<double>(log.last_entry().size()));
+  }
+  return out;
+}
+
+void add_decisions(const At& at, const std::string& what, DecisionCost cost) {
+  at.add("log_decision_" + what, "ms", std::move(cost.whole_ms));
+  at.add("log_apply_" + what, "ms", std::move(cost.apply_ms));
+  at.add("log_entry_" + what, "B", std::move(cost.bytes));
+}
+
+void add_image(const At& at, const agreement::Instance& instance) {
+  std::vector<double> make;
+  std::vector<double> load;
+  std::string image;
+  for (int i = 0; i < kRepeats; ++i) {
+    make.push_back(cpu_ms_of([&] { image = instance.snapshot(); }));
+    agreement::State state;
+    load.push_back(cpu_ms_of([&] { state.restore(image); }));
+  }
+  at.add("log_image", "B", {static_cast<double>(image.size())});
+  at.add("log_image_make", "ms", std::move(make));
+  at.add("log_image_load", "ms", std::move(load));
+}
+
+void through_the_log(fleet::Fleet fleet, const At& at) {
+  MemoryLog log;
+  begin_log(log);
+  LoggedInstance leader(
+      std::move(fleet), log, [&] { log.deliver(); }, kRareSnapshots);
+  leader.begin();
+  add_decisions(at, "at_rest", decisions(leader, log, Change::kNone, [](int) {}));
+  add_decisions(at, "one_leaving",
+                decisions(leader, log, Change::kPublished, [&](int i) { leader.leave(i); }));
+  add_image(at, leader.instance());
+}
+
+// ---- The store and a start from it
+
+void take_what_is_done(consensus::StoreKeeper& log) {
+  log.take_done();
+  std::this_thread::sleep_for(std::chrono::microseconds(50));
+}
+
+// An instance that finds nothing but its folder: an image, and the entries behind it.
+void start_from_folder(const fleet::Fleet& fleet, const At& at) {
+  TemporaryFolder folder;
+  std::uint64_t decided = 0;
+  {
+    consensus::StoreKeeper log(folder.path().string(), steady, [] {});
+    begin_log(log);
+    LoggedInstance leader(
+        fleet, log, [&] { take_what_is_done(log); }, kSnapshotAfter);
+    leader.begin();
+    for (int i = 0; i < kDecisionsBeforeStart; ++i) {
+      leader.leave(i);
+      leader.decide_ms();
+    }
+    decided = leader.decisions();
+  }
+  std::vector<double> cpu;
+  std::vector<double> wall;
+  for (int i = 0; i < kRepeats; ++i) {
+    double begin = wall_seconds();
+    cpu.push_back(cpu_ms_of([&] {
+      consensus::StoreKeeper log(folder.path().string(), steady, [] {});
+      LoggedInstance again(
+          fleet, log, [&] { take_what_is_done(log); }, kSnapshotAfter);
+      again.start_again(decided);
+      wall.push_back((wall_seconds() - begin) * 1e3);
+    }));
+  }
+  at.add("log_start", "ms", std::move(cpu));
+  at.add("log_start_wall", "ms", std::move(wall));
+}
+
+consensus::LogEntry entry_of(int bytes) {
+  consensus::LogEntry out;
+  out.set_term(1);
+  out.set_type(RAFT_COMMAND);
+  out.set_data(std::string(static_cast<std::size_t>(bytes), 'x'));
+  return out;
+}
+
+// So many appended at once, all on the disk when it returns; the time of the wall.
+double append_wall_ms(consensus::StoreKeeper& log, std::uint64_t& next, int bytes, int count) {
+  std::vector<consensus::LogEntry> entries(static_cast<std::size_t>(count), entry_of(bytes));
+  bool over = false;
+  bool kept = false;
+  double begin = wall_seconds();
+  log.append(next, std::move(entries), [&](bool durable) {
+    over = true;
+    kept = durable;
+  });
+  next += static_cast<std::uint64_t>(count);
+  while (!over) take_what_is_done(log);
+  if (!kept) throw std::runtime_error("an entry was not kept");
+  return (wall_seconds() - begin) * 1e3;
+}
+
+void by_entry_bytes(Sheet& sheet) {
+  for (int bytes : {100, 4'000, 64'000, 512'000}) {
+    TemporaryFolder folder;
+    consensus::StoreKeeper log(folder.path().string(), steady, [] {});
+    begin_log(log);
+    std::uint64_t next = 2;
+    std::vector<double> one;
+    std::vector<double> batch;
+    for (int i = 0; i < kAppends; ++i) one.push_back(append_wall_ms(log, next, bytes, 1));
+    for (int i = 0; i < kRepeats; ++i)
+      batch.push_back(kBatch * 1e3 / append_wall_ms(log, next, bytes, kBatch));
+    At at{sheet, "entry_bytes", static_cast<double>(bytes), 0};
+    at.add("log_append_wall", "ms", std::move(one));
+    at.add("log_appends_a_second_of_64_at_once_wall", "1/s", std::move(batch));
+  }
+}
+
+// ---- The variables
+
+void by_servers(const LogOptions& options, Sheet& sheet) {
+  Sweep sweep{"servers", {500, 1000, 2000, 6100}, options.most_seconds};
+  auto fleet_of = [&](int servers) {
+    return generated_fleet({.servers = servers, .subsetting = options.subsetting});
+  };
+  run(sweep, fleet_of, [&](int servers, fleet::Fleet fleet) {
+    At at{sheet, sweep.by, static_cast<double>(servers), kPlannedServers};
+    start_from_folder(fleet, at);
+    through_the_log(std::move(fleet), at);
+  });
+}
+
+// How much of the fleet one decision changes.
+void by_servers_leaving(const LogOptions& options, Sheet& sheet) {
+  Sweep sweep{"servers_leaving", {1, 4, 16, 40}, options.most_seconds};
+  auto fleet_of = [&](int) {
+    return generated_fleet({.servers = kServersOfOthers, .subsetting = options.subsetting});
+  };
+  run(sweep, fleet_of, [&](int leaving, fleet::Fleet fleet) {
+    MemoryLog log;
+    begin_log(log);
+    LoggedInstance leader(
+        std::move(fleet), log, [&] { log.deliver(); }, kRareSnapshots);
+    leader.begin();
+    auto leave = [&](int round) {
+      for (int i = 0; i < leaving; ++i) leader.leave(round * leaving + i);
+    };
+    add_decisions({sheet, sweep.by, static_cast<double>(leaving), 0}, "leaving",
+                  decisions(leader, log, Change::kPublished, leave));
+  });
+}
+
+// What is agreed has 16, 256 or 4,096 shards: three sizes, so single points and no slope.
+void print_key_shards(const LogOptions& options) {
+  for (int shards : {16, 256, 4096}) {
+    Sheet sheet;
+    through_the_log(fleet_of_shards({.servers = kServersOfOthers, .subsetting = options.subsetting}, shards),
+                    {sheet, "key_shards", static_cast<double>(shards), 0});
+    std::string where =
+        "servers=" + std::to_string(kServersOfOthers) + " key_shards=" + std::to_string(shards);
+    for (const Slope& slope : sheet.slopes()) {
+      std::printf("%s\n", figure_of(slope.name, where, slope.unit, slope.points.front().cost).c_str());
+    }
+  }
+}
+
+}  // namespace
+
+void log_slopes(const LogOptions& options, Sheet& sheet) {
+  by_servers(options, sheet);
+  by_servers_leaving(options, sheet);
+  print_key_shards(options);
+  by_entry_bytes(sheet);
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/logged_instance.cpp
@@ -0,0 +1,112 @@
+#include "logged_instance.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include "cost.h"
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr Nanos kBetweenDecisions = 600 * kMs;  // longer than an instance goes without one
+constexpr int kDecisionsToSettle = 3;           // a new leader goes on from what was agreed first
+constexpr consensus::InstanceId kId = 1;
+constexpr double kMostSeconds = 30;  // for one thing to come
+
+agreement::InstanceTerms terms_of(unsigned snapshot_after) {
+  agreement::InstanceTerms out;
+  out.id = kId;
+  out.address = "alone";
+  out.log.fleet = "capacity";
+  out.log.snapshot_after = snapshot_after;
+  out.log.snapshot_trailing = snapshot_after / 2;
+  return out;
+}
+
+}  // namespace
+
+bool MemoryLog::keep_vote(std::uint64_t term, consensus::InstanceId voted_for) {
+  kept_.term = term;
+  kept_.voted_for = voted_for;
+  return true;
+}
+
+void MemoryLog::append(std::uint64_t, std::vector<consensus::LogEntry> entries, Done done) {
+  last_entry_ = std::move(*entries.back().mutable_data());
+  due_.push_back(std::move(done));
+}
+
+void MemoryLog::keep_snapshot(const consensus::LogSnapshot&, std::uint64_t, Done done) {
+  due_.push_back(std::move(done));
+}
+
+void MemoryLog::deliver() {
+  while (!due_.empty()) {
+    Done done = std::move(due_.front());
+    due_.pop_front();
+    if (done) done(true);
+  }
+}
+
+void begin_log(consensus::Keeper& log) {
+  consensus::Server server;
+  server.set_id(kId);
+  server.set_address("alone");
+  server.set_role(RAFT_VOTER);
+  consensus::Member::begin(log, {server});
+}
+
+LoggedInstance::LoggedInstance(fleet::Fleet fleet, consensus::Keeper& log, std::function<void()> deliver,
+                               unsigned snapshot_after)
+    : deliver_(std::move(deliver)),
+      servers_(fleet),
+      instance_(
+          terms_of(snapshot_after), log, wire_, std::move(fleet), true, [this] { return now_; }, 1,
+          [](const std::string&) {}) {
+  servers_.connect(instance_.router(), now_);
+  instance_.start();
+}
+
+void LoggedInstance::wait_for(const std::function<bool()>& over, const char* what) {
+  double begin = wall_seconds();
+  while (!over()) {
+    deliver_();
+    if (wall_seconds() - begin > kMostSeconds)
+      throw std::runtime_error(std::string("it never came: ") + what);
+  }
+}
+
+void LoggedInstance::begin() {
+  auto all_in_service = [&] {
+    return instance_.published() && servers_in_service(instance_.published()->snapshot) == servers_.size();
+  };
+  auto step = [&] {
+    now_ += kBetweenDecisions;
+    servers_.report(instance_.router(), now_);
+    instance_.tick();
+    return all_in_service();
+  };
+  wait_for(step, "all servers in service");
+  for (int i = 0; i < kDecisionsToSettle; ++i) decide_ms();
+}
+
+void LoggedInstance::start_again(std::uint64_t decisions) {
+  auto in_force = [&] {
+    now_ += kMs;
+    instance_.tick();
+    return this->decisions() >= decisions && instance_.published() != nullptr;
+  };
+  wait_for(in_force, "what the log holds");
+}
+
+double LoggedInstance::decide_ms() {
+  now_ += kBetweenDecisions;
+  servers_.report(instance_.router(), now_);
+  std::uint64_t before = decisions();
+  return cpu_ms_of([&] {
+    instance_.tick();
+    wait_for([&] { return decisions() > before; }, "a decision in force");
+  });
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/logged_instance.h
@@ -0,0 +1,73 @@
+// One instance that leads alone, deciding through its common log, with every server of its fleet reporting.
+// It is the code of a process: agreement::Instance on consensus::Member; only the log's storage is a port.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "agreement/instance.h"
+#include "reporting_servers.h"
+
+namespace myrtlecroft::capacity {
+
+// The log's storage in memory: what is appended is done when deliver() is called.
+class MemoryLog final : public consensus::Keeper {
+ public:
+  consensus::Kept load() override { return kept_; }
+  bool well() const override { return true; }
+  bool keep_vote(std::uint64_t term, consensus::InstanceId voted_for) override;
+  void append(std::uint64_t first, std::vector<consensus::LogEntry> entries, Done done) override;
+  void truncate(std::uint64_t) override {}
+  void keep_snapshot(const consensus::LogSnapshot&, std::uint64_t, Done done) override;
+  void replace(const consensus::Kept& kept) override { kept_ = kept; }
+
+  void deliver();
+  const std::string& last_entry() const { return last_entry_; }
+
+ private:
+  consensus::Kept kept_;
+  std::deque<Done> due_;
+  std::string last_entry_;
+};
+
+// Nobody else belongs.
+class NoPeers final : public consensus::Wire {
+ public:
+  void send(const consensus::PeerMessage&, const std::string&) override {}
+};
+
+// The first log, of this one instance.
+void begin_log(consensus::Keeper& log);
+
+class LoggedInstance {
+ public:
+  // `deliver` lets the log tell what it has done.
+  LoggedInstance(fleet::Fleet fleet, consensus::Keeper& log, std::function<void()> deliver,
+                 unsigned snapshot_after);
+
+  // Until all servers are in service as agreed, and it is at rest.
+  void begin();
+  // Until what its log holds is in force again; throws std::runtime_error where that takes too long.
+  void start_again(std::uint64_t decisions);
+  // Reports of all servers, then one decision, in force when it returns. The time of the processor of this
+  // thread from the tick that draws it up.
+  double decide_ms();
+  void leave(int server) { servers_.leave(server); }
+
+  agreement::Instance& instance() { return instance_; }
+  std::uint64_t published() const { return instance_.agreed().published(); }
+  std::uint64_t decisions() const { return instance_.agreed().epoch().number; }
+
+ private:
+  void wait_for(const std::function<bool()>& over, const char* what);
+
+  Nanos now_ = 1000 * kSecond;
+  NoPeers wire_;
+  std::function<void()> deliver_;
+  ReportingServers servers_;
+  agreement::Instance instance_;
+};
+
+}  // namespace myrtlecroft::capacity
--- a/measure/capacity/slope.h
+++ b/measure/capacity/slope.h
@@ -51,7 +51,10 @@
 // `extrapolated=SIZE:COST` where the planned size was not run. The exponent is `none` where a median is zero.
 // Throws std::invalid_argument where there are fewer than four sizes.
 std::string line_of(const Slope& slope);
-// The median at the planned size, or at the largest that was run: `NAME/VARIABLE@SIZE=COSTunit`.
+// A single point, for what has too few sizes: `figure NAME WHERE median=... min=... max=... unit=...`.
+std::string figure_of(const std::string& name, const std::string& where, const std::string& unit,
+                      const Spread& cost);
+// The median at the largest size that was run: `NAME/VARIABLE@SIZE=COSTunit`.
 std::string short_form_of(const Slope& slope);
 
 // Collects slopes point by point, in the order in which they first came.
@@ -66,7 +69,7 @@
   void add(const What& what, double size, std::vector<double> samples);
 
   const std::vector<Slope>& slopes() const { return slopes_; }
-  void print() const;                       // each slope on a line
+  void print() const;                       // each slope on a line; of too few sizes, its points as figures
   void print_last(const char* word) const;  // all of them on one line behind the word
 
  private:
--- a/measure/capacity/sweep.h
+++ b/measure/capacity/sweep.h
@@ -4,8 +4,12 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "fleet/fleet.h"
+#include "slope.h"
+
 namespace myrtlecroft::capacity {
 
 struct Sweep {
@@ -14,8 +18,20 @@
   double most_seconds = 0;  // of the wall, that one size may take; the first four are run in any case
 };
 
-// `measure` runs one size. A size at which it throws settings::DocumentError is the first that the fleet file
-// may not have: it and larger ones are left out. What is left out is told on stdout.
-void run(const Sweep& sweep, const std::function<void(int size)>& measure);
+// A size whose fleet can't be read (settings::DocumentError) is left out, and so are larger ones; what is
+// left out is told on stdout.
+void run(const Sweep& sweep, const std::function<fleet::Fleet(int size)>& fleet_of,
+         const std::function<void(int size, fleet::Fleet fleet)>& measure);
+
+// The variable of a slope, its size now, and where what is measured goes.
+struct At {
+  Sheet& sheet;
+  std::string by;
+  double size = 0;
+  double planned = 0;
+  void add(const std::string& name, const std::string& unit, std::vector<double> samples) const {
+    sheet.add({name, by, unit, planned}, size, std::move(samples));
+  }
+};
 
 }  // namespace myrtlecroft::capacity
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -69,6 +69,11 @@
   EXPECT_NE(line_of(slope).find("exponent=none"), std::string::npos);
 }
 
+TEST(Slope, ASinglePointIsNamedAFigure) {
+  EXPECT_EQ(figure_of("step", "servers=500", "ms", {1, 2, 3}),
+            "figure step servers=500 median=2 min=1 max=3 unit=ms");
+}
+
 TEST(Sheet, PointsOfOneNameAndVariableAreOneSlope) {
   Sheet sheet;
   for (double size : {1.0, 2.0, 4.0, 8.0}) {
