--- a/standin/ads_client.h
+++ b/standin/ads_client.h
@@ -22,7 +22,8 @@
   using Endpoints = envoy::config::endpoint::v3::ClusterLoadAssignment;
   using Routes = envoy::config::route::v3::RouteConfiguration;
 
-  std::shared_ptr<const Routes> routes;
+  std::shared_ptr<const Routes> routes;  // of the first of the listeners
+  std::vector<std::shared_ptr<const Routes>> all_routes;
   std::map<std::string, std::shared_ptr<const Cluster>> clusters;
   std::map<std::string, std::shared_ptr<const Endpoints>> endpoints;
   std::map<std::string, double> fractions;  // from the runtime layer, 0 to 1
@@ -46,14 +47,20 @@
 
 class AdsClient {
  public:
-  AdsClient(bool delta, std::string id, std::string zone, std::shared_ptr<BodyCache> bodies = nullptr)
+  // Asks for these listeners by name, then for their routes, clusters and endpoints; without names for all
+  // clusters and listeners.
+  AdsClient(bool delta, std::string id, std::string zone, std::shared_ptr<BodyCache> bodies = nullptr,
+            std::vector<std::string> listeners = {})
       : delta_(delta),
         id_(std::move(id)),
         zone_(std::move(zone)),
-        bodies_(bodies ? std::move(bodies) : std::make_shared<BodyCache>()) {}
+        bodies_(bodies ? std::move(bodies) : std::make_shared<BodyCache>()),
+        listeners_(std::move(listeners)) {}
 
   // A new stream: the requests that open it. What was applied stays.
   std::vector<std::string> connected();
+  // It has started anew, and has nothing.
+  void forget();
   // A response as it came; the requests that follow from it.
   std::vector<std::string> came(const std::string& bytes);
   // From now on refuses answers that hold a resource with this in its name; nothing: refuses none.
@@ -82,6 +89,7 @@
   std::optional<std::string> take(const std::string& type, Kind& kind, std::map<std::string, Held> resources,
                                   const std::vector<std::string>& removed, bool whole);
   void follow(std::vector<std::string>& out, const std::string& type, std::set<std::string> names);
+  std::set<std::string> referred_by(const std::string& type);
   void apply();
   void half_applied(std::string what) { ++half_applied_, half_applied_last_ = std::move(what); }
 
@@ -89,6 +97,7 @@
   std::string id_;
   std::string zone_;
   std::shared_ptr<BodyCache> bodies_;
+  std::vector<std::string> listeners_;
   std::map<std::string, Kind> kinds_;
   std::optional<std::string> refuses_;
   std::shared_ptr<const AppliedSet> applied_;
--- a/standin/ads_link.h
+++ b/standin/ads_link.h
@@ -21,7 +21,7 @@
   // Told after each change of what is applied, from a thread of gRPC's.
   using Applied = std::function<void(const AppliedSet&)>;
   AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied = {},
-          std::shared_ptr<BodyCache> bodies = nullptr);
+          std::shared_ptr<BodyCache> bodies = nullptr, std::vector<std::string> listeners = {});
   ~AdsLink();
 
   std::shared_ptr<const AppliedSet> applied() const;
@@ -33,13 +33,17 @@
   void stop_reading() { reading_ = false; }
   // Cuts the stream; a new one follows by itself.
   void cut();
+  // As a caller that has ended and is started again: it connects anew, and has nothing.
+  void start_over();
   bool connected() const { return connected_; }
 
  private:
   class Stream;
   void open();
   void ended();
+  void connect();
 
+  std::string target_;
   std::string method_;
   std::shared_ptr<grpc::Channel> channel_;
   std::unique_ptr<grpc::GenericStub> stub_;
@@ -51,6 +55,7 @@
   std::atomic<bool> reading_ = true;
   std::atomic<bool> connected_ = false;
   bool closing_ = false;
+  bool starting_over_ = false;
 };
 
 }  // namespace myrtlecroft::standin
