Capacity of one real control instance with hollow servers and callers on real sockets

measure_capacity_real starts one control instance, processes of hollow servers that report by frames and hollow callers that apply aggregated xDS, and makes changes: single servers, a rack, a zone, a reconnect of all callers. What is in force, lost, doubled or half applied is judged by what callers applied.

--- /dev/null
+++ b/measure/capacity/measure_capacity_real.cpp
@@ -0,0 +1,274 @@
+// What a fleet of the planned size costs one real control instance, on real sockets: hollow servers that
+// report, hollow callers that apply, changes one at a time, a rack and a zone that fall silent, a reconnect of
+// all callers, and the operators' questions (measure/capacity/real_rig.h). All on one machine: the load shares
+// its processors with what is measured.
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
+
+#include "../../tests/control_harness.h"
+#include "capacity/real_figures.h"
+#include "capacity/real_rig.h"
+#include "capacity/real_server_process.h"
+#include "capacity/slope.h"
+
+namespace {
+
+using namespace myrtlecroft;
+using capacity::ChangeKind;
+using capacity::ChangeResult;
+
+constexpr int kReportsForMs = 4000;
+constexpr int kRack = 40;
+constexpr int kSmallFleetCallers = 100;  // beside fleets of fewer servers
+constexpr int kChanges = 6;
+constexpr double kServerSizes[] = {500, 1500, 3000, 6100};
+constexpr double kCallerSizes[] = {300, 1000, 3000, 10'000};
+
+constexpr int kServerProcessesMs = 5000;
+constexpr int kGroupSizes[] = {4, 20, 60, 200};
+constexpr int kInstances[] = {1, 3, 5};
+
+class Measurement {
+ public:
+  Measurement(capacity::RigTerms terms, std::string folder) : terms_(std::move(terms)), folder_(std::move(folder)) {}
+
+  int run() {
+    std::printf("load average at the start: %.1f\n", capacity::load_average());
+    measure_server_side();
+    for (double size : kServerSizes) {
+      auto servers = static_cast<int>(size * terms_.plan.servers / kServerSizes[3]);
+      measure_fleet(servers, servers == terms_.plan.servers);
+    }
+    by_servers_.print();
+    by_callers_.print();
+    std::printf("load average at the end: %.1f\n", capacity::load_average());
+    figures_.print(terms_.plan);
+    return figures_.faults() == 0 ? 0 : 1;
+  }
+
+ private:
+  void measure_fleet(int servers, bool whole) {
+    capacity::RigTerms terms = terms_;
+    terms.plan.servers = servers;
+    if (!whole) terms.plan.callers = std::min(kSmallFleetCallers, terms_.plan.callers);
+    terms.folder = folder_ + "/" + std::to_string(servers);
+    std::filesystem::create_directory(terms.folder);
+    capacity::Stopwatch watch;
+    capacity::RealRig rig(terms);
+    if (!rig.start_servers()) figures_.fault("not all of " + std::to_string(servers) + " servers came up");
+    std::printf("%d servers are up after %.1f s, load average %.1f\n", servers, watch.seconds(),
+                capacity::load_average());
+    measure_reports(rig);
+    measure_commands(rig);
+    whole ? measure_callers(rig) : measure_small(rig);
+  }
+
+  // Real server processes, by endpoint groups and by the instances that they report to; what they use without
+  // reporting is taken off.
+  void measure_server_side() {
+    std::vector<capacity::ServerProcessTerms> terms;
+    for (int groups : kGroupSizes) {
+      terms.push_back({.groups = groups, .instances = 0});
+      for (int instances : kInstances) terms.push_back({.groups = groups, .instances = instances});
+    }
+    auto costs = capacity::measure_server_processes(folder_, terms, kServerProcessesMs);
+    capacity::Sheet sheet;
+    double idle = 0;
+    for (std::size_t i = 0; i < terms.size(); ++i) {
+      if (terms[i].instances == 0) {
+        idle = costs[i].cores;
+        continue;
+      }
+      std::string to = "_to_" + std::to_string(terms[i].instances);
+      double groups = terms[i].groups;
+      sheet.add({"server_report_bytes" + to, "endpoint_groups", "B/s"}, groups, {costs[i].bytes_a_second});
+      sheet.add({"server_report_cpu" + to, "endpoint_groups", "us/s"}, groups,
+                {std::max(0.0, costs[i].cores - idle) * 1e6});
+      if (terms[i].groups != terms_.report_groups || terms[i].instances != kInstances[1]) continue;
+      figures_.node_bytes_s = costs[i].bytes_a_second;
+      figures_.node_core_share = std::max(0.0, costs[i].cores - idle);
+    }
+    sheet.print();
+  }
+
+  void measure_reports(capacity::RealRig& rig) {
+    std::vector<double> control, servers;
+    capacity::ReportCost cost;
+    for (int i = 0; i < 3; ++i) {
+      cost = rig.measure_reports(kReportsForMs / 3);
+      control.push_back(cost.control_cores);
+      servers.push_back(cost.servers_cores / rig.plan().servers * 1e6);
+    }
+    figures_.control_cpu_reports = capacity::spread_of(control).median;
+    double size = rig.plan().servers;
+    by_servers_.add({"control_cpu_of_reports", "servers", "cores"}, size, control);
+    by_servers_.add({"hollow_server_cpu_of_reports", "servers", "us/s"}, size, servers);
+    std::printf("%.0f servers: %.0f reports/s, %.0f B/s a server, control %.2f cores\n", size, cost.reports_a_second,
+                cost.bytes_a_server, figures_.control_cpu_reports);
+  }
+
+  void measure_commands(capacity::RealRig& rig) {
+    for (const char* question : {"nodes", "proxies", "snapshot"}) {
+      std::vector<double> took;
+      capacity::CommandCost cost;
+      for (int i = 0; i < 3 && cost.fault.empty(); ++i) {
+        cost = rig.ask(question);
+        took.push_back(cost.ms);
+      }
+      std::printf("%d servers, %d callers: `%s` %.1f ms, %zu bytes, %u rows left out%s%s\n", rig.plan().servers,
+                  rig.callers(), question, capacity::spread_of(took).median, cost.bytes, cost.rows_left_out,
+                  cost.fault.empty() ? "" : "; FAILED: ", cost.fault.c_str());
+      if (question == std::string("nodes"))
+        figures_.nodes_answer_ms = cost.fault.empty() ? capacity::spread_of(took).median : -1;
+    }
+  }
+
+  // Singles, one after another; the times of each touched caller.
+  struct Singles {
+    std::vector<double> in_force_ms, bytes, control_cpu_ms, caller_cpu_us;
+  };
+  Singles measure_changes(capacity::RealRig& rig) {
+    Singles out;
+    for (int i = 0; i < kChanges; ++i) {
+      auto server = static_cast<std::uint32_t>(1 + (i / 2 * 7) % rig.plan().servers);
+      ChangeResult result = rig.change(i % 2 == 0 ? ChangeKind::kLeave : ChangeKind::kReturn, {server});
+      note("single", result);
+      out.in_force_ms.insert(out.in_force_ms.end(), result.in_force_ms.begin(), result.in_force_ms.end());
+      double touched = std::max(1u, result.touched);
+      out.bytes.push_back(result.bytes / touched);
+      out.control_cpu_ms.push_back(result.control_cpu_ms);
+      out.caller_cpu_us.push_back(result.callers_cpu_ms * 1e3 / touched);
+    }
+    return out;
+  }
+
+  void note(const char* what, const ChangeResult& result) {
+    figures_.lost += static_cast<int>(result.missed);
+    if (result.touched == 0) figures_.fault(std::string(what) + " touched nobody");
+    if (result.missed == 0) return;
+    std::printf("%s: %u of %u touched callers did not have it in force in time\n", what, result.missed,
+                result.touched);
+  }
+
+  void add_changes(capacity::Sheet& sheet, const std::string& by, double size, const Singles& singles) {
+    sheet.add({"change_in_force_p50", by, "ms"}, size, {capacity::quantile(singles.in_force_ms, 0.5)});
+    sheet.add({"change_in_force_p99", by, "ms"}, size, {capacity::quantile(singles.in_force_ms, 0.99)});
+    sheet.add({"change_bytes_of_touched_caller", by, "B"}, size, singles.bytes);
+    sheet.add({"change_control_cpu", by, "ms"}, size, singles.control_cpu_ms);
+    sheet.add({"change_caller_cpu", by, "us"}, size, singles.caller_cpu_us);
+  }
+
+  void measure_small(capacity::RealRig& rig) {
+    grow(rig, rig.plan().callers);
+    add_changes(by_servers_, "servers", rig.plan().servers, measure_changes(rig));
+  }
+
+  void grow(capacity::RealRig& rig, int callers) {
+    capacity::Stopwatch watch;
+    std::uint32_t missing = rig.grow_callers(callers);
+    if (missing > 0) figures_.fault(std::to_string(missing) + " callers got no set");
+    std::printf("%d callers are up after %.1f s, load average %.1f; callers' processes hold %ld MB\n", callers,
+                watch.seconds(), capacity::load_average(), rig.callers_kb() / 1024);
+  }
+
+  void measure_callers(capacity::RealRig& rig) {
+    const long without_callers = rig.rested_kb();
+    bool first = true;
+    for (double size : kCallerSizes) {
+      auto callers = static_cast<int>(size * terms_.plan.callers / kCallerSizes[3]);
+      if (std::exchange(first, false)) {
+        grow(rig, std::min(kSmallFleetCallers, callers));
+        add_changes(by_servers_, "servers", rig.plan().servers, measure_changes(rig));
+      }
+      grow(rig, callers);
+      figures_.kb_per_caller = static_cast<double>(rig.rested_kb() - without_callers) / callers;
+      by_callers_.add({"control_memory_of_caller", "callers", "kB"}, callers, {figures_.kb_per_caller});
+      Singles singles = measure_changes(rig);
+      add_changes(by_callers_, "callers", callers, singles);
+      figures_.take_changes(singles.in_force_ms, singles.bytes);
+    }
+    measure_bursts(rig);
+    measure_reconnect(rig);
+    measure_commands(rig);
+    look_at_rest(rig);
+  }
+
+  void measure_bursts(capacity::RealRig& rig) {
+    int zone = rig.plan().servers / rig.plan().zones;
+    figures_.burst40_p99_ms = burst(rig, std::min(kRack, zone));
+    figures_.burst380_p99_ms = burst(rig, zone);
+  }
+
+  double burst(capacity::RealRig& rig, int size) {
+    std::vector<std::uint32_t> servers = capacity::servers_of_first_zone(rig.plan(), size);
+    std::vector<double> all;
+    for (ChangeKind kind : {ChangeKind::kLose, ChangeKind::kRegain}) {
+      ChangeResult result = rig.change(kind, servers);
+      const char* what = kind == ChangeKind::kLose ? "lost" : "back";
+      note(what, result);
+      std::printf("%zu servers %s at once: p50 %.0f ms, p99 %.0f ms at %u callers; %.0f kB a caller, control %.0f ms CPU\n",
+                  servers.size(), what, capacity::quantile(result.in_force_ms, 0.5),
+                  capacity::quantile(result.in_force_ms, 0.99), result.touched,
+                  result.bytes / 1e3 / std::max(1u, result.touched), result.control_cpu_ms);
+      all.insert(all.end(), result.in_force_ms.begin(), result.in_force_ms.end());
+    }
+    return capacity::quantile(all, 0.99);
+  }
+
+  void measure_reconnect(capacity::RealRig& rig) {
+    capacity::ReconnectResult result = rig.reconnect_all();
+    figures_.reconnect_s = result.seconds;
+    if (result.missing > 0) figures_.fault(std::to_string(result.missing) + " callers did not come back");
+    std::printf("%d callers cut at once: all have their set after %.1f s, %u missing; control %.1f s CPU, %ld MB at most, "
+                "%.0f MB sent\n",
+                rig.callers(), result.seconds, result.missing, result.control_cpu_s, result.peak_kb / 1024,
+                result.bytes / 1e6);
+  }
+
+  // Nothing moves any more: what callers have now is held against what was done.
+  void look_at_rest(capacity::RealRig& rig) {
+    hollow::Answer answer = rig.look(true);
+    figures_.lost += static_cast<int>(answer.stale());
+    figures_.half_applied += static_cast<int>(answer.half_applied());
+    figures_.doubled = rig.doubled_owners();
+    std::printf("at rest: %u callers with an old set, %u half-applied %s, %llu endpoints a caller\n", answer.stale(),
+                answer.half_applied(), answer.half_applied_last().c_str(),
+                static_cast<unsigned long long>(answer.endpoints_held() / std::max(1u, answer.callers())));
+  }
+
+  capacity::RigTerms terms_;
+  std::string folder_;
+  capacity::Sheet by_servers_;
+  capacity::Sheet by_callers_;
+  capacity::RealFigures figures_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  capacity::RigTerms terms;
+  capacity::FleetPlan& plan = terms.plan;
+  CLI::App app("Measures one real control instance with hollow servers and callers round it");
+  app.add_option("--servers", plan.servers)->capture_default_str();
+  app.add_option("--callers", plan.callers)->capture_default_str();
+  app.add_option("--services", plan.services)->capture_default_str();
+  app.add_option("--subsetting", plan.subset_size, "Servers of a service that a caller is told; 0: all, to all");
+  app.add_option("--deduplicated-every", plan.deduplicated_every, "Each so-manieth service has keys with owners");
+  app.add_option("--report-every-ms", terms.report_every_ms)->capture_default_str();
+  app.add_option("--report-groups", terms.report_groups, "Endpoint groups in each report")->capture_default_str();
+  CLI11_PARSE(app, argc, argv);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  terms.hollow_program = MYRTLECROFT_HOLLOW_FLEET;
+  control::Folder folder;
+  try {
+    return Measurement(terms, folder.file("")).run();
+  } catch (const std::exception& error) {
+    std::printf("the measurement broke off: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/measure/capacity/real_callers.cpp
@@ -0,0 +1,91 @@
+#include "capacity/real_callers.h"
+
+#include <chrono>
+#include <set>
+#include <tuple>
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr std::string_view kServerClusters = "node/";
+
+}  // namespace
+
+std::int64_t steady_ns() {
+  auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(now).count();
+}
+
+void HollowCallers::add(const hollow::Command::AddCallers& command) {
+  for (std::uint32_t i = 0; i < command.count(); ++i) add_one(static_cast<int>(command.first() + i));
+}
+
+// With subsets a caller asks for the services that it uses, by name; without, for all there is. Half of the
+// callers speak either form of the protocol.
+void HollowCallers::add_one(int number) {
+  std::vector<std::string> listeners;
+  if (plan_.subsetting()) {
+    for (int service : choices_.services_of(number)) listeners.push_back(name_of_service(service));
+  }
+  bool delta = number % 2 == 0;
+  auto applied = [this, number](const standin::AppliedSet& set) {
+    watch_.applied(static_cast<std::uint32_t>(number), set, steady_ns());
+  };
+  links_.push_back(std::make_unique<standin::AdsLink>(target_, delta, name_of_caller(number), applied, bodies_,
+                                                      std::move(listeners)));
+}
+
+void HollowCallers::expect(const hollow::Command::Expect& command) {
+  watch_.expect({command.servers().begin(), command.servers().end()}, command.present());
+}
+
+void HollowCallers::cut() {
+  for (auto& link : links_) link->start_over();
+}
+
+void HollowCallers::fill(hollow::Answer& answer, bool whole) const {
+  ChangeWatch::Progress progress = watch_.progress();
+  answer.set_touched(progress.touched);
+  answer.set_in_force(progress.in_force);
+  answer.set_callers(static_cast<std::uint32_t>(links_.size()));
+  for (const auto& link : links_) {
+    if (link->applied()) answer.set_callers_applied(answer.callers_applied() + 1);
+    answer.set_bytes_in(answer.bytes_in() + link->bytes_in());
+    if (link->half_applied() == 0) continue;
+    answer.set_half_applied(answer.half_applied() + static_cast<std::uint32_t>(link->half_applied()));
+    answer.set_half_applied_last(link->half_applied_last());
+  }
+  if (!whole) return;
+  for (std::int64_t at : watch_.in_force_at_ns()) answer.add_in_force_at_ns(at);
+  answer.set_stale(watch_.stale());
+  answer.set_endpoints_held(watch_.endpoints_held());
+}
+
+// Which server runs which keys, by the routes that callers have: each word once.
+void HollowCallers::list_owners(hollow::Answer& answer) const {
+  std::set<const standin::AppliedSet::Routes*> seen;
+  std::set<std::tuple<std::string, std::string, std::string>> words;
+  for (const auto& link : links_) {
+    auto set = link->applied();
+    if (!set) continue;
+    for (const auto& routes : set->all_routes) {
+      if (!seen.insert(routes.get()).second) continue;
+      for (const auto& host : routes->virtual_hosts()) {
+        for (const auto& route : host.routes()) {
+          const std::string& cluster = route.route().cluster();
+          if (route.match().headers_size() == 0 || !cluster.starts_with(kServerClusters)) continue;
+          words.emplace(route.name().substr(0, route.name().find('/')),
+                        route.match().headers(0).safe_regex_match().regex(), cluster);
+        }
+      }
+    }
+  }
+  for (const auto& [route, pattern, owner] : words) {
+    hollow::ShardOwner& row = *answer.add_owners();
+    row.set_route(route);
+    row.set_pattern(pattern);
+    row.set_owner(owner);
+  }
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/real_commands.cpp
@@ -0,0 +1,90 @@
+#include "capacity/real_commands.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr std::size_t kHeader = 4;
+constexpr int kLongestWait = 60;  // seconds, for an answer
+
+std::string framed(const google::protobuf::Message& message) {
+  std::string body = message.SerializeAsString();
+  std::string out;
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(body.size() >> shift & 0xff);
+  return out + body;
+}
+
+std::size_t length_in(std::string_view header) {
+  std::size_t out = 0;
+  for (std::size_t i = 0; i < kHeader; ++i) out = out << 8 | static_cast<std::uint8_t>(header[i]);
+  return out;
+}
+
+}  // namespace
+
+CommandServer::CommandServer(net::Loop& loop, int socket, Handler handler)
+    : loop_(loop), handler_(std::move(handler)), connection_(loop.base(), socket, *this, log_, "commands") {}
+
+std::size_t CommandServer::came(net::Connection& connection, std::string_view bytes) {
+  if (bytes.size() < kHeader || bytes.size() - kHeader < length_in(bytes)) return 0;
+  std::size_t size = length_in(bytes);
+  hollow::Command command;
+  if (!command.ParseFromArray(bytes.data() + kHeader, static_cast<int>(size))) {
+    connection.end(net::Reason::kMalformed);
+  } else {
+    connection.write(framed(handler_(command)));
+  }
+  return kHeader + size;
+}
+
+CommandClient::CommandClient() {
+  int both[2] = {-1, -1};
+  if (::socketpair(AF_UNIX, SOCK_STREAM, 0, both) != 0) throw std::runtime_error("no pair of sockets");
+  local_ = both[0];
+  remote_ = both[1];
+  ::fcntl(local_, F_SETFD, FD_CLOEXEC);
+  ::fcntl(remote_, F_SETFL, O_NONBLOCK);
+  timeval wait{.tv_sec = kLongestWait, .tv_usec = 0};
+  ::setsockopt(local_, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  ::setsockopt(local_, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof wait);
+}
+
+CommandClient::~CommandClient() {
+  close_remote();
+  ::close(local_);
+}
+
+void CommandClient::close_remote() {
+  if (remote_ >= 0) ::close(std::exchange(remote_, -1));
+}
+
+void CommandClient::transfer(bool sending, char* bytes, std::size_t size) {
+  while (size > 0) {
+    ssize_t moved = sending ? ::send(local_, bytes, size, MSG_NOSIGNAL) : ::recv(local_, bytes, size, 0);
+    if (moved <= 0) throw std::runtime_error("a hollow process is gone or does not answer");
+    bytes += moved;
+    size -= static_cast<std::size_t>(moved);
+  }
+}
+
+void CommandClient::send(const hollow::Command& command) {
+  std::string bytes = framed(command);
+  transfer(true, bytes.data(), bytes.size());
+}
+
+hollow::Answer CommandClient::receive() {
+  std::string bytes(kHeader, '\0');
+  transfer(false, bytes.data(), bytes.size());
+  bytes.resize(length_in(bytes));
+  transfer(false, bytes.data(), bytes.size());
+  hollow::Answer out;
+  if (!out.ParseFromString(bytes)) throw std::runtime_error("a hollow process answers what makes no sense");
+  return out;
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/real_fleet.cpp
@@ -0,0 +1,110 @@
+#include "capacity/real_fleet.h"
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <set>
+#include <sstream>
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr unsigned kOfServices = 1u << 24;  // keeps the draws of services apart from those of callers
+constexpr int kServersOfAddress = 250;
+constexpr int kFirstPort = 20'000;
+
+// So many different ones of 1..all.
+std::vector<int> draw(int count, int all, unsigned seed) {
+  std::vector<int> out(static_cast<std::size_t>(all));
+  std::iota(out.begin(), out.end(), 1);
+  if (count >= all) return out;
+  std::mt19937 random(seed);
+  for (int i = 0; i < count; ++i) {
+    std::uniform_int_distribution<int> rest(i, all - 1);
+    std::swap(out[static_cast<std::size_t>(i)], out[static_cast<std::size_t>(rest(random))]);
+  }
+  out.resize(static_cast<std::size_t>(count));
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+void write_group(std::ostream& out, const FleetPlan& plan, const FleetChoices& choices, int service) {
+  bool deduplicated = plan.deduplicated_every > 0 && service % plan.deduplicated_every == 0;
+  out << "{ name = \"" << name_of_service(service) << "\"; timeout_ms = 2000; repeats = "
+      << (deduplicated ? "\"deduplicated\"; window_ms = 10000;" : "\"repeatable\";");
+  if (plan.subsetting()) {
+    out << " servers = (";
+    const char* between = "";
+    for (int server : choices.servers_of(service)) {
+      out << between << '"' << name_of_server(server) << '"';
+      between = ", ";
+    }
+    out << ");";
+  }
+  out << " }";
+}
+
+}  // namespace
+
+std::string name_of_server(int number) { return "n" + std::to_string(number); }
+std::string name_of_caller(int number) { return "c" + std::to_string(number); }
+std::string name_of_service(int number) { return "s" + std::to_string(number); }
+
+int number_of_server(const std::string& name) {
+  if (name.size() < 2 || name[0] != 'n') return 0;
+  bool digits = std::all_of(name.begin() + 1, name.end(), [](char c) { return c >= '0' && c <= '9'; });
+  return digits ? std::atoi(name.c_str() + 1) : 0;
+}
+
+std::string address_of_server(int number) {
+  return "127.0.0." + std::to_string(2 + number / kServersOfAddress) + ":" + std::to_string(kFirstPort + number);
+}
+
+int zone_of_server(const FleetPlan& plan, int number) { return 1 + (number - 1) % plan.zones; }
+
+std::vector<std::uint32_t> servers_of_first_zone(const FleetPlan& plan, int most) {
+  std::vector<std::uint32_t> out;
+  for (int server = 1; server <= plan.servers && static_cast<int>(out.size()) < most; server += plan.zones)
+    out.push_back(static_cast<std::uint32_t>(server));
+  return out;
+}
+
+FleetChoices::FleetChoices(const FleetPlan& plan) : plan_(plan) {
+  for (int service = 1; service <= plan.services; ++service) weights_.push_back(1.0 / service);
+}
+
+std::vector<int> FleetChoices::servers_of(int service) const {
+  int count = plan_.subsetting() ? plan_.servers_of_service : plan_.servers;
+  return draw(count, plan_.servers, plan_.seed + kOfServices + static_cast<unsigned>(service));
+}
+
+std::vector<int> FleetChoices::services_of(int caller) const {
+  std::set<int> chosen;
+  std::mt19937 random(plan_.seed + static_cast<unsigned>(caller));
+  std::discrete_distribution<int> popular(weights_.begin(), weights_.end());
+  auto wanted = static_cast<std::size_t>(std::min(plan_.services_of_caller, plan_.services));
+  while (chosen.size() < wanted) chosen.insert(1 + popular(random));
+  return {chosen.begin(), chosen.end()};
+}
+
+std::string fleet_file(const FleetPlan& plan) {
+  FleetChoices choices(plan);
+  std::ostringstream out;
+  out << "version = 1; listener = \"" << kListener << "\"; proxies = " << plan.callers << ";\n";
+  if (plan.subsetting()) out << "subsetting = { size = " << plan.subset_size << "; };\n";
+  out << "nodes = (\n";
+  for (int server = 1; server <= plan.servers; ++server) {
+    out << (server > 1 ? ",\n" : "") << "{ name = \"" << name_of_server(server) << "\"; zone = \"z"
+        << zone_of_server(plan, server) << "\"; address = \"" << address_of_server(server) << "\"; }";
+  }
+  out << ");\ngroups = (\n";
+  for (int service = 1; service <= plan.services; ++service) {
+    if (service > 1) out << ",\n";
+    write_group(out, plan, choices, service);
+  }
+  // A server that may come back at once and whole, so that a change is one change.
+  out << ");\nbounds = { dwell_ms = 0; ramp_ms = 0; settle_ms = 20; };\n";
+  return out.str();
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/real_hollow_fleet.cpp
@@ -0,0 +1,84 @@
+// A process that holds a share of the hollow servers, or of the hollow callers, of one capacity measurement,
+// and does what it is told over the socket that it was started with.
+#include <google/protobuf/stubs/logging.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <optional>
+
+#include "capacity/real_callers.h"
+#include "capacity/real_commands.h"
+#include "capacity/real_servers.h"
+#include "net/address.h"
+#include "net/descriptors.h"
+
+namespace {
+
+using namespace myrtlecroft;
+
+constexpr std::size_t kMostDescriptors = 20'000;
+
+hollow::Answer carry_out(const hollow::Command& command, capacity::HollowServers* servers,
+                         capacity::HollowCallers* callers) {
+  hollow::Answer answer;
+  answer.set_at_ns(capacity::steady_ns());
+  if (servers) {
+    if (command.has_say()) servers->say(command.say());
+    if (command.has_reach()) servers->reach(command.reach());
+    servers->fill(answer);
+  }
+  if (callers) {
+    if (command.has_add_callers()) callers->add(command.add_callers());
+    if (command.has_expect()) callers->expect(command.expect());
+    if (command.has_cut_callers()) callers->cut();
+    if (command.has_list_owners()) callers->list_owners(answer);
+    callers->fill(answer, command.look().whole());
+  }
+  return answer;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Holds hollow servers or hollow callers");
+  app.require_subcommand(1);
+  int socket = -1;
+  capacity::FleetPlan plan;
+  capacity::HollowServersTerms terms;
+  std::uint16_t reports = 0;
+  std::int64_t every_ms = 250;
+  std::string discovery;
+  CLI::App* servers_wanted = app.add_subcommand("servers", "Servers that report");
+  servers_wanted->add_option("--reports", reports, "Port of control")->required();
+  servers_wanted->add_option("--first", terms.first)->required();
+  servers_wanted->add_option("--count", terms.count)->required();
+  servers_wanted->add_option("--every-ms", every_ms);
+  servers_wanted->add_option("--groups", terms.groups);
+  CLI::App* callers_wanted = app.add_subcommand("callers", "Callers that listen");
+  callers_wanted->add_option("--discovery", discovery, "Target of control")->required();
+  callers_wanted->add_option("--servers", plan.servers);
+  callers_wanted->add_option("--services", plan.services);
+  callers_wanted->add_option("--subsetting", plan.subset_size);
+  for (CLI::App* one : {servers_wanted, callers_wanted})
+    one->add_option("--commands", socket, "Descriptor of the socket that commands come by")->required();
+  CLI11_PARSE(app, argc, argv);
+
+  std::signal(SIGPIPE, SIG_IGN);
+  google::protobuf::SetLogHandler(nullptr);
+  net::reserve_descriptors(kMostDescriptors);  // before any thread
+  net::Loop loop;
+  std::optional<capacity::HollowServers> servers;
+  std::optional<capacity::HollowCallers> callers;
+  if (servers_wanted->parsed()) {
+    terms.reports = net::loopback(reports);
+    terms.every = every_ms * kMs;
+    servers.emplace(loop, terms);
+  }
+  if (callers_wanted->parsed()) callers.emplace(discovery, plan);
+  capacity::CommandServer commands(loop, socket, [&](const hollow::Command& command) {
+    return carry_out(command, servers ? &*servers : nullptr, callers ? &*callers : nullptr);
+  });
+  loop.run();
+  std::_Exit(0);  // thousands of channels need not be taken down one by one
+}
--- /dev/null
+++ b/measure/capacity/real_rig.cpp
@@ -0,0 +1,224 @@
+#include "capacity/real_rig.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+#include "capacity/real_callers.h"
+#include "capacity/shard_owners.h"
+#include "control/ask.h"
+#include "net/address.h"
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr int kPollMs = 20;
+constexpr int kStartLimitMs = 60'000;
+constexpr int kCallersLimitMs = 90'000;
+constexpr int kChangeLimitMs = 10'000;
+constexpr int kQuietMs = 300;        // without a byte to any caller
+constexpr int kQuietLimitMs = 30'000;
+constexpr int kTrimmedMs = 6'000;    // control trims its memory every 5 s
+constexpr int kReportsBeforeStart = 4;  // of each server
+
+void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+
+bool poll(int limit_ms, const std::function<bool()>& done) {
+  std::int64_t until = steady_ns() + limit_ms * kMs;
+  while (!done()) {
+    if (steady_ns() > until) return false;
+    pause(kPollMs);
+  }
+  return true;
+}
+
+double ms_between(std::int64_t from, std::int64_t to) { return static_cast<double>(to - from) / 1e6; }
+
+standin::ControlFleetTerms control_terms(const RigTerms& terms) {
+  std::string file = terms.folder + "/fleet.conf";
+  std::ofstream(file) << fleet_file(terms.plan);
+  return {.folder = terms.folder, .fleet = file, .instances = 1, .agreed = false, .more = {}};
+}
+
+}  // namespace
+
+RealRig::RealRig(RigTerms terms) : terms_(std::move(terms)), control_(control_terms(terms_), ports_) {
+  control_.start_all();
+}
+
+RealRig::~RealRig() = default;
+
+bool RealRig::start_servers() {
+  bool up = poll(kStartLimitMs, [&] { return ask("proxies").fault.empty(); });
+  for (int first = 1; first <= terms_.plan.servers; first += terms_.servers_of_process) {
+    int count = std::min(terms_.servers_of_process, terms_.plan.servers - first + 1);
+    servers_.start(terms_.hollow_program,
+                   {"servers", "--reports", std::to_string(control_[0].reports), "--first", std::to_string(first),
+                    "--count", std::to_string(count), "--every-ms", std::to_string(terms_.report_every_ms),
+                    "--groups", std::to_string(terms_.report_groups)},
+                   terms_.folder + "/servers.log");
+  }
+  auto expected = static_cast<std::uint64_t>(terms_.plan.servers);
+  return up && poll(kStartLimitMs, [&] {
+    hollow::Answer now = servers_.ask({});
+    return now.servers_connected() == expected && now.reports_sent() >= kReportsBeforeStart * expected;
+  });
+}
+
+void RealRig::start_caller_processes() {
+  const FleetPlan& plan = terms_.plan;
+  int processes = (plan.callers + terms_.callers_of_process - 1) / terms_.callers_of_process;
+  for (int i = 0; i < processes; ++i) {
+    callers_.start(terms_.hollow_program,
+                   {"callers", "--discovery", control_.discovery(0), "--servers", std::to_string(plan.servers),
+                    "--services", std::to_string(plan.services), "--subsetting", std::to_string(plan.subset_size)},
+                   terms_.folder + "/callers.log");
+  }
+}
+
+std::uint32_t RealRig::grow_callers(int callers) {
+  if (callers_.size() == 0) start_caller_processes();
+  int more = callers - callers_started_;
+  auto processes = static_cast<int>(callers_.size());
+  callers_.ask_each([&](std::size_t process) {
+    int at = static_cast<int>(process);
+    int from = more * at / processes;
+    hollow::Command command;
+    command.mutable_add_callers()->set_first(static_cast<std::uint32_t>(callers_started_ + 1 + from));
+    command.mutable_add_callers()->set_count(static_cast<std::uint32_t>(more * (at + 1) / processes - from));
+    return command;
+  });
+  callers_started_ = callers;
+  hollow::Answer now;
+  poll(kCallersLimitMs, [&] {
+    now = look(false);
+    return now.callers_applied() == static_cast<std::uint32_t>(callers);
+  });
+  await_quiet();
+  return static_cast<std::uint32_t>(callers) - now.callers_applied();
+}
+
+hollow::Answer RealRig::look(bool whole) {
+  hollow::Command command;
+  command.mutable_look()->set_whole(whole);
+  return callers_.ask(command);
+}
+
+void RealRig::await_quiet() {
+  std::uint64_t bytes = 0;
+  std::int64_t since = steady_ns();
+  poll(kQuietLimitMs, [&] {
+    std::uint64_t now = look(false).bytes_in();
+    if (now != bytes) since = steady_ns();
+    bytes = now;
+    return ms_between(since, steady_ns()) >= kQuietMs;
+  });
+}
+
+ReportCost RealRig::measure_reports(int for_ms) {
+  hollow::Answer before = servers_.ask({});
+  double control_cpu = control().cpu_ms();
+  double servers_cpu = servers_.cpu_ms();
+  pause(for_ms);
+  hollow::Answer after = servers_.ask({});
+  double passed_ms = ms_between(before.at_ns(), after.at_ns());
+  double bytes = static_cast<double>(after.report_bytes() - before.report_bytes());
+  double reports = static_cast<double>(after.reports_sent() - before.reports_sent());
+  return {.control_cores = (control().cpu_ms() - control_cpu) / passed_ms,
+          .servers_cores = (servers_.cpu_ms() - servers_cpu) / passed_ms,
+          .bytes_a_server = bytes / terms_.plan.servers / passed_ms * 1e3,
+          .reports_a_second = reports / passed_ms * 1e3};
+}
+
+void RealRig::begin(ChangeKind kind, const std::vector<std::uint32_t>& servers, hollow::Answer& begun) {
+  bool present = kind == ChangeKind::kReturn || kind == ChangeKind::kRegain;
+  hollow::Command expect;
+  expect.mutable_expect()->mutable_servers()->Add(servers.begin(), servers.end());
+  expect.mutable_expect()->set_present(present);
+  callers_.ask(expect);
+  hollow::Command command;
+  if (kind == ChangeKind::kLeave || kind == ChangeKind::kReturn) {
+    command.mutable_say()->mutable_servers()->Add(servers.begin(), servers.end());
+    command.mutable_say()->set_leaving(!present);
+  } else {
+    command.mutable_reach()->mutable_servers()->Add(servers.begin(), servers.end());
+    command.mutable_reach()->set_up(present);
+  }
+  begun = servers_.ask(command);
+}
+
+ChangeResult RealRig::change(ChangeKind kind, const std::vector<std::uint32_t>& servers) {
+  std::uint64_t bytes = look(false).bytes_in();
+  double control_cpu = control().cpu_ms();
+  double callers_cpu = callers_.cpu_ms();
+  hollow::Answer begun;
+  begin(kind, servers, begun);
+  poll(kChangeLimitMs, [&] {
+    hollow::Answer now = look(false);
+    return now.in_force() == now.touched();
+  });
+  hollow::Answer end = look(true);
+  await_quiet();
+  ChangeResult out;
+  for (std::int64_t at : end.in_force_at_ns()) out.in_force_ms.push_back(ms_between(begun.at_ns(), at));
+  out.touched = end.touched();
+  out.missed = end.touched() - end.in_force();
+  out.bytes = static_cast<double>(look(false).bytes_in() - bytes);
+  out.control_cpu_ms = control().cpu_ms() - control_cpu;
+  out.callers_cpu_ms = callers_.cpu_ms() - callers_cpu;
+  return out;
+}
+
+ReconnectResult RealRig::reconnect_all() {
+  ReconnectResult out;
+  double control_cpu = control().cpu_ms();
+  std::uint64_t bytes = look(false).bytes_in();
+  hollow::Command cut;
+  cut.mutable_cut_callers();
+  std::int64_t begun = callers_.ask(cut).at_ns();
+  hollow::Answer now;
+  poll(kCallersLimitMs, [&] {
+    now = look(false);
+    out.peak_kb = std::max(out.peak_kb, control().resident_kb());
+    return now.callers_applied() == now.callers();
+  });
+  out.seconds = ms_between(begun, steady_ns()) / 1e3;
+  out.missing = now.callers() - now.callers_applied();
+  out.control_cpu_s = (control().cpu_ms() - control_cpu) / 1e3;
+  await_quiet();
+  out.bytes = static_cast<double>(look(false).bytes_in() - bytes);
+  return out;
+}
+
+int RealRig::doubled_owners() {
+  hollow::Command command;
+  command.mutable_list_owners();
+  hollow::Answer answer = callers_.ask(command);
+  if (answer.owners_size() == 0) return -1;
+  constexpr int kShardDigits = 2;  // of a fleet file that says nothing else
+  return shards_with_two_owners({answer.owners().begin(), answer.owners().end()}, kShardDigits);
+}
+
+long RealRig::rested_kb() {
+  pause(kTrimmedMs);
+  return control().resident_kb();
+}
+
+CommandCost RealRig::ask(const std::string& question) {
+  CommandCost out;
+  std::int64_t begun = steady_ns();
+  try {
+    control::AdminAnswer answer =
+        control::ask(net::loopback(static_cast<std::uint16_t>(control_[0].admin)), question);
+    out.bytes = answer.ByteSizeLong();
+    out.rows_left_out = answer.rows_left_out();
+    out.fault = answer.error();
+  } catch (const std::exception& error) {
+    out.fault = error.what();
+  }
+  out.ms = ms_between(begun, steady_ns());
+  return out;
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/real_server_process.cpp
@@ -0,0 +1,167 @@
+#include "capacity/real_server_process.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
+#include <thread>
+
+#include "child.h"
+#include "control_fleet.h"
+#include "net/address.h"
+#include "node_config.h"
+#include "report/frames.h"
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr int kPollMs = 5;
+constexpr int kStartLimitMs = 10'000;
+
+// Where a server reports to.
+class ReportsPort {
+ public:
+  ReportsPort() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address = net::loopback(0);
+    socklen_t size = sizeof address;
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    ::listen(listener_, 4);
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+  }
+  ReportsPort(const ReportsPort&) = delete;
+  ReportsPort& operator=(const ReportsPort&) = delete;
+  ~ReportsPort() {
+    if (peer_ >= 0) ::close(peer_);
+    ::close(listener_);
+  }
+  int port() const { return port_; }
+  double bytes() const { return bytes_; }
+  double reports() const { return reports_; }
+  void read() {
+    if (peer_ < 0) peer_ = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    char buffer[65'536];
+    for (ssize_t got; peer_ >= 0 && (got = ::recv(peer_, buffer, sizeof buffer, 0)) > 0;) {
+      in_.append(buffer, static_cast<std::size_t>(got));
+      bytes_ += static_cast<double>(got);
+    }
+    report::Malformed malformed{};
+    in_.erase(0, report::decode(in_, [this](const report::NodeReport&) { ++reports_; }, malformed));
+  }
+
+ private:
+  int listener_;
+  int peer_ = -1;
+  int port_ = 0;
+  std::string in_;
+  double bytes_ = 0;
+  double reports_ = 0;
+};
+
+class ServerProcess {
+ public:
+  ServerProcess(const std::string& folder, const ServerProcessTerms& terms, std::set<int>& taken) {
+    std::string stem = folder + "/server-" + std::to_string(terms.groups) + "-" + std::to_string(terms.instances);
+    standin::NodeConfig config;
+    for (int* port : {&config.port, &config.engine, &config.database}) *port = standin::free_port(taken);
+    for (int i = 1; i <= terms.groups; ++i) {
+      config.groups += std::string(i > 1 ? "," : "") + R"({"name":"s)" + std::to_string(i) +
+                       R"(","effect":"idempotent","gain":1,"goalTimeNs":500000000,"hardLimitNs":1000000000})";
+    }
+    config.family = R"("nCores":1,"ramKb":50000)";
+    standin::write_node_config(stem + ".json", config);
+    write_settings(stem + ".conf", terms.instances);
+    child_ = standin::Child({MYRTLECROFT_PROGRAM}, stem + ".log",
+                            {{"LB_CONFIG", stem + ".json"}, {"MYRTLECROFT_SETTINGS", stem + ".conf"}});
+  }
+
+  void read() {
+    for (auto& port : ports_) port->read();
+  }
+  bool reports() const {
+    bool out = true;
+    for (const auto& port : ports_) out = out && port->reports() > 0;
+    return out;
+  }
+  ServerProcessCost so_far() const {
+    ServerProcessCost out{.cores = cpu_seconds()};
+    for (const auto& port : ports_) {
+      out.bytes_a_second += port->bytes();
+      out.reports_a_second += port->reports();
+    }
+    return out;
+  }
+
+ private:
+  void write_settings(const std::string& path, int instances) {
+    std::ofstream out(path);
+    out << "version = 1;\n";
+    if (instances == 0) return;
+    out << "reports = { to = (";
+    for (int i = 0; i < instances; ++i) {
+      ports_.push_back(std::make_unique<ReportsPort>());
+      out << (i ? ", " : "") << '"' << standin::on_loopback(ports_.back()->port()) << '"';
+    }
+    out << "); };\n";
+  }
+  // In nanoseconds, where Child::cpu_ms() counts ticks of ten milliseconds.
+  double cpu_seconds() const {
+    std::ifstream in("/proc/" + std::to_string(child_.pid()) + "/schedstat");
+    double nanos = 0;
+    in >> nanos;
+    return nanos / 1e9;
+  }
+
+  std::vector<std::unique_ptr<ReportsPort>> ports_;
+  standin::Child child_;
+};
+
+using Clock = std::chrono::steady_clock;
+
+double seconds_since(Clock::time_point then) {
+  return std::chrono::duration<double>(Clock::now() - then).count();
+}
+
+template <class Done>
+bool read_until(std::vector<std::unique_ptr<ServerProcess>>& all, int limit_ms, Done done) {
+  auto begun = Clock::now();
+  while (seconds_since(begun) * 1e3 < limit_ms) {
+    for (auto& one : all) one->read();
+    if (done()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+  }
+  return false;
+}
+
+}  // namespace
+
+std::vector<ServerProcessCost> measure_server_processes(const std::string& folder,
+                                                        const std::vector<ServerProcessTerms>& terms, int for_ms) {
+  std::set<int> taken;
+  std::vector<std::unique_ptr<ServerProcess>> all;
+  for (const ServerProcessTerms& one : terms) all.push_back(std::make_unique<ServerProcess>(folder, one, taken));
+  bool up = read_until(all, kStartLimitMs, [&] {
+    bool reports = true;
+    for (const auto& one : all) reports = reports && one->reports();
+    return reports;
+  });
+  if (!up) throw std::runtime_error("a server process does not report");
+  std::vector<ServerProcessCost> before;
+  for (const auto& one : all) before.push_back(one->so_far());
+  auto begun = Clock::now();
+  read_until(all, for_ms, [] { return false; });
+  double passed = seconds_since(begun);
+  std::vector<ServerProcessCost> out;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    ServerProcessCost now = all[i]->so_far();
+    out.push_back({.bytes_a_second = (now.bytes_a_second - before[i].bytes_a_second) / passed,
+                   .reports_a_second = (now.reports_a_second - before[i].reports_a_second) / passed,
+                   .cores = (now.cores - before[i].cores) / passed});
+  }
+  return out;
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/measure/capacity/real_servers.cpp
@@ -0,0 +1,113 @@
+#include "capacity/real_servers.h"
+
+#include <algorithm>
+
+namespace myrtlecroft::capacity {
+namespace {
+
+constexpr Nanos kReconnectWait = 200 * kMs;  // as the reporter's first
+constexpr std::uint32_t kWindow = 40;
+constexpr double kLimit = 8;
+
+}  // namespace
+
+report::NodeReport report_of(int server, int groups) {
+  report::NodeReport out;
+  out.node = name_of_server(server);
+  out.address = address_of_server(server);
+  out.life = 1;
+  out.engine_up = true;
+  out.window = kWindow;
+  out.limit = kLimit;
+  for (int i = 1; i <= groups; ++i) out.groups.push_back({.group = name_of_service(i)});
+  return out;
+}
+
+class HollowServers::Server final : public net::ConnectionOwner {
+ public:
+  Server(HollowServers& all, int number, Nanos first_report)
+      : all_(all),
+        report_(report_of(number, all.terms_.groups)),
+        report_again_(all.loop_.base(), [this] { report(); }),
+        connect_again_(all.loop_.base(), [this] { connect(); }) {
+    connect();
+    report_again_.set(first_report);
+  }
+
+  void say(bool leaving) {
+    report_.leaving = leaving;
+    send();
+  }
+  void reach(bool up) {
+    connect_again_.clear();
+    if (connected() && !up) connection_->leave_no_trace();
+    connection_.reset();
+    if (up) connect();
+  }
+  bool connected() const { return connection_ && connection_->was_open(); }
+
+  // It obeys nobody: orders are passed over.
+  std::size_t came(net::Connection&, std::string_view bytes) override { return bytes.size(); }
+  void ended(net::Connection&, net::Reason) override {
+    connection_.reset();
+    connect_again_.set(kReconnectWait);
+  }
+
+ private:
+  void connect() {
+    connection_ = std::make_unique<net::Connection>(all_.loop_.base(), all_.terms_.reports, *this, all_.log_,
+                                                    "reports");
+  }
+  // The time between reports goes on by itself, connected or not.
+  void report() {
+    report_again_.set(all_.terms_.every);
+    send();
+  }
+  void send() {
+    if (!connected()) return;
+    ++report_.sequence;
+    report_.sent_unix = net::Loop::unix_now();
+    std::string frame = report::encode(report_);
+    connection_->write(frame);
+    ++all_.reports_sent_;
+    all_.report_bytes_ += frame.size();
+  }
+
+  HollowServers& all_;
+  report::NodeReport report_;
+  std::unique_ptr<net::Connection> connection_;
+  net::Timer report_again_;
+  net::Timer connect_again_;
+};
+
+HollowServers::HollowServers(net::Loop& loop, const HollowServersTerms& terms) : loop_(loop), terms_(terms) {
+  for (int i = 0; i < terms.count; ++i) {
+    int number = terms.first + i;
+    servers_[static_cast<std::uint32_t>(number)] =
+        std::make_unique<Server>(*this, number, terms.every * i / terms.count);
+  }
+}
+
+HollowServers::~HollowServers() = default;
+
+void HollowServers::say(const hollow::Command::Say& command) {
+  for (std::uint32_t number : command.servers()) {
+    if (auto found = servers_.find(number); found != servers_.end()) found->second->say(command.leaving());
+  }
+}
+
+void HollowServers::reach(const hollow::Command::Reach& command) {
+  for (std::uint32_t number : command.servers()) {
+    if (auto found = servers_.find(number); found != servers_.end()) found->second->reach(command.up());
+  }
+}
+
+void HollowServers::fill(hollow::Answer& answer) const {
+  auto connected = std::count_if(servers_.begin(), servers_.end(),
+                                 [](const auto& one) { return one.second->connected(); });
+  answer.set_servers_connected(static_cast<std::uint32_t>(connected));
+  answer.set_reports_sent(reports_sent_);
+  answer.set_report_bytes(report_bytes_);
+}
+
+}  // namespace myrtlecroft::capacity
--- /dev/null
+++ b/tests/capacity_real_test.cpp
@@ -0,0 +1,139 @@
+// What the capacity measurement on real sockets goes by: the generated fleet, whom a change touches, who owns
+// which keys.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "capacity/change_watch.h"
+#include "capacity/real_fleet.h"
+#include "capacity/real_servers.h"
+#include "capacity/shard_owners.h"
+
+namespace myrtlecroft::capacity {
+namespace {
+
+using standin::AppliedSet;
+
+FleetPlan with_subsets() {
+  FleetPlan plan;
+  plan.servers = 500;
+  plan.services = 300;
+  plan.subset_size = 20;
+  return plan;
+}
+
+AppliedSet set_of(const std::vector<int>& servers) {
+  auto body = std::make_shared<AppliedSet::Endpoints>();
+  for (int server : servers) body->add_endpoints()->mutable_locality()->set_sub_zone(name_of_server(server));
+  AppliedSet out;
+  out.endpoints["group/s1"] = body;
+  return out;
+}
+
+TEST(FleetChoices, EqualPlansGiveEqualChoices) {
+  FleetChoices one(with_subsets());
+  FleetChoices other(with_subsets());
+  EXPECT_EQ(one.services_of(17), other.services_of(17));
+  EXPECT_EQ(one.servers_of(17), other.servers_of(17));
+  EXPECT_NE(one.servers_of(17), one.servers_of(18));
+}
+
+TEST(FleetChoices, PopularServicesAreUsedByManyCallersAndEachCallerByItsNumber) {
+  FleetChoices choices(with_subsets());
+  int of_first = 0;
+  int of_last = 0;
+  for (int caller = 1; caller <= 1000; ++caller) {
+    std::vector<int> services = choices.services_of(caller);
+    EXPECT_EQ(std::set<int>(services.begin(), services.end()).size(), 8u);
+    for (int service : services) of_first += service == 1, of_last += service == 300;
+  }
+  EXPECT_GT(of_first, 10 * of_last);
+}
+
+TEST(FleetFile, ServersOfAServiceAreNamedOnlyWithSubsets) {
+  EXPECT_NE(fleet_file(with_subsets()).find("servers = ("), std::string::npos);
+  EXPECT_EQ(fleet_file(FleetPlan{}).find("servers = ("), std::string::npos);
+}
+
+TEST(ReportOfAHollowServer, IsWhatControlReads) {
+  std::vector<report::NodeReport> read;
+  report::Malformed malformed{};
+  std::string frame = report::encode(report_of(3, 4));
+  EXPECT_EQ(report::decode(frame, [&](report::NodeReport one) { read.push_back(one); }, malformed), frame.size());
+  ASSERT_EQ(read.size(), 1u);
+  EXPECT_EQ(read[0], report_of(3, 4));
+}
+
+TEST(ChangeWatch, TouchesWhoHasTheServerAndIsInForceOnceItIsGone) {
+  ChangeWatch watch;
+  watch.applied(1, set_of({1, 2, 3}), 10);
+  watch.applied(2, set_of({2, 3}), 10);
+  watch.expect({1}, false);
+  EXPECT_EQ(watch.progress().touched, 1u);
+  EXPECT_EQ(watch.stale(), 1u);
+  watch.applied(1, set_of({1, 3}), 20);  // another change: not this one
+  EXPECT_EQ(watch.progress().in_force, 0u);
+  watch.applied(1, set_of({3, 4}), 30);
+  EXPECT_EQ(watch.progress().in_force, 1u);
+  EXPECT_EQ(watch.in_force_at_ns(), std::vector<std::int64_t>{30});
+  EXPECT_EQ(watch.stale(), 0u);
+}
+
+TEST(ChangeWatch, ServerThatIsTakenInAgainAfterItLeftIsStale) {
+  ChangeWatch watch;
+  watch.applied(1, set_of({1, 2}), 10);
+  watch.expect({1}, false);
+  watch.applied(1, set_of({2}), 20);
+  watch.applied(1, set_of({1, 2}), 30);
+  EXPECT_EQ(watch.progress().in_force, 1u);
+  EXPECT_EQ(watch.stale(), 1u);
+}
+
+TEST(ChangeWatch, ReturnIsInForceOnceAllThatWereLostAreThereAgain) {
+  ChangeWatch watch;
+  watch.applied(1, set_of({1, 2, 3}), 10);
+  watch.applied(2, set_of({3}), 10);
+  watch.expect({1, 2, 4}, false);
+  watch.applied(1, set_of({3}), 20);
+  watch.expect({1, 2, 4}, true);
+  EXPECT_EQ(watch.progress().touched, 1u);
+  watch.applied(1, set_of({1, 3}), 30);
+  EXPECT_EQ(watch.progress().in_force, 0u);
+  watch.applied(1, set_of({1, 2, 3}), 40);
+  EXPECT_EQ(watch.in_force_at_ns(), std::vector<std::int64_t>{40});
+}
+
+TEST(ChangeWatch, OwnClusterOfAServerThatLeftIsNoSign) {
+  ChangeWatch watch;
+  AppliedSet set = set_of({1, 2});
+  set.endpoints["node/n1"] = set_of({1}).endpoints.begin()->second;
+  watch.applied(1, set, 10);
+  watch.expect({1}, false);
+  set.endpoints["group/s1"] = set_of({2}).endpoints.begin()->second;
+  watch.applied(1, set, 20);
+  EXPECT_EQ(watch.progress().in_force, 1u);
+}
+
+hollow::ShardOwner word(const std::string& route, const std::string& pattern, const std::string& owner) {
+  hollow::ShardOwner out;
+  out.set_route(route);
+  out.set_pattern(pattern);
+  out.set_owner(owner);
+  return out;
+}
+
+TEST(ShardOwners, ShardThatTwoRoutesSendToDifferentServersIsDoubled) {
+  EXPECT_EQ(shards_with_two_owners({word("s4", "(?i)(?:0[01]|10).*", "node/n1"),
+                                    word("s4", "(?i)(?:0[12]).*", "node/n2"),
+                                    word("s8", "(?i)(?:00).*", "node/n3")},
+                                   2),
+            1);
+}
+
+TEST(ShardOwners, OneOwnerUnderTwoPatternsIsNotDoubled) {
+  EXPECT_EQ(shards_with_two_owners({word("s4", "(?i)(?:0[01]).*", "node/n1"), word("s4", "(?i)(?:0[12]).*", "node/n1")}, 2),
+            0);
+}
+
+}  // namespace
+}  // namespace myrtlecroft::capacity
