Server side of reports in three rounds; services with key owners name no servers

A deduplicated service has its owners among all servers, so the generated file names servers of the others alone.

--- a/measure/capacity/measure_capacity_real.cpp
+++ b/measure/capacity/measure_capacity_real.cpp
@@ -29,7 +29,9 @@
 constexpr double kServerSizes[] = {500, 1500, 3000, 6100};
 constexpr double kCallerSizes[] = {300, 1000, 3000, 10'000};
 
-constexpr int kServerProcessesMs = 5000;
+constexpr int kDeduplicatedEvery = 100;
+constexpr int kServerProcessesMs = 2500;
+constexpr int kServerProcessesRounds = 3;
 constexpr int kGroupSizes[] = {4, 20, 60, 200};
 constexpr int kInstances[] = {1, 3, 5};
 
@@ -76,22 +78,23 @@
       terms.push_back({.groups = groups, .instances = 0});
       for (int instances : kInstances) terms.push_back({.groups = groups, .instances = instances});
     }
-    auto costs = capacity::measure_server_processes(folder_, terms, kServerProcessesMs);
+    auto rounds = capacity::measure_server_processes(folder_, terms, kServerProcessesRounds, kServerProcessesMs);
     capacity::Sheet sheet;
-    double idle = 0;
+    std::vector<double> idle;
     for (std::size_t i = 0; i < terms.size(); ++i) {
-      if (terms[i].instances == 0) {
-        idle = costs[i].cores;
-        continue;
+      std::vector<double> cpu_us, bytes;
+      for (std::size_t round = 0; round < rounds.size(); ++round) {
+        if (terms[i].instances == 0) idle.resize(rounds.size()), idle[round] = rounds[round][i].cores;
+        cpu_us.push_back(std::max(0.0, rounds[round][i].cores - idle[round]) * 1e6);
+        bytes.push_back(rounds[round][i].bytes_a_second);
       }
+      if (terms[i].instances == 0) continue;
       std::string to = "_to_" + std::to_string(terms[i].instances);
-      double groups = terms[i].groups;
-      sheet.add({"server_report_bytes" + to, "endpoint_groups", "B/s"}, groups, {costs[i].bytes_a_second});
-      sheet.add({"server_report_cpu" + to, "endpoint_groups", "us/s"}, groups,
-                {std::max(0.0, costs[i].cores - idle) * 1e6});
+      sheet.add({"server_report_bytes" + to, "endpoint_groups", "B/s"}, terms[i].groups, bytes);
+      sheet.add({"server_report_cpu" + to, "endpoint_groups", "us/s"}, terms[i].groups, cpu_us);
       if (terms[i].groups != terms_.report_groups || terms[i].instances != kInstances[1]) continue;
-      figures_.node_bytes_s = costs[i].bytes_a_second;
-      figures_.node_core_share = std::max(0.0, costs[i].cores - idle);
+      figures_.node_bytes_s = capacity::spread_of(bytes).median;
+      figures_.node_core_share = capacity::spread_of(cpu_us).median / 1e6;
     }
     sheet.print();
   }
@@ -258,10 +261,12 @@
   app.add_option("--callers", plan.callers)->capture_default_str();
   app.add_option("--services", plan.services)->capture_default_str();
   app.add_option("--subsetting", plan.subset_size, "Servers of a service that a caller is told; 0: all, to all");
-  app.add_option("--deduplicated-every", plan.deduplicated_every, "Each so-manieth service has keys with owners");
+  app.add_option("--deduplicated-every", plan.deduplicated_every,
+                 "Each so-manieth service has keys with owners; left out: each 100th with subsets, else the last");
   app.add_option("--report-every-ms", terms.report_every_ms)->capture_default_str();
   app.add_option("--report-groups", terms.report_groups, "Endpoint groups in each report")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
+  if (plan.deduplicated_every == 0) plan.deduplicated_every = plan.subsetting() ? kDeduplicatedEvery : plan.services;
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   terms.hollow_program = MYRTLECROFT_HOLLOW_FLEET;
   control::Folder folder;
--- a/measure/capacity/real_fleet.cpp
+++ b/measure/capacity/real_fleet.cpp
@@ -32,7 +32,8 @@
   bool deduplicated = plan.deduplicated_every > 0 && service % plan.deduplicated_every == 0;
   out << "{ name = \"" << name_of_service(service) << "\"; timeout_ms = 2000; repeats = "
       << (deduplicated ? "\"deduplicated\"; window_ms = 10000;" : "\"repeatable\";");
-  if (plan.subsetting()) {
+  // The keys of a deduplicated service have their owners among all servers.
+  if (plan.subsetting() && !deduplicated) {
     out << " servers = (";
     const char* between = "";
     for (int server : choices.servers_of(service)) {
--- a/measure/capacity/real_fleet.h
+++ b/measure/capacity/real_fleet.h
@@ -16,7 +16,7 @@
   int zones = 16;
   int servers_of_service = 200;   // with subsets
   int services_of_caller = 8;     // with subsets
-  int deduplicated_every = 4;     // each so-manieth service has keys with owners; 0: none
+  int deduplicated_every = 0;     // each so-manieth service has keys with owners; 0: none
   unsigned seed = 7;
 
   bool subsetting() const { return subset_size > 0; }
--- a/measure/capacity/real_rig.cpp
+++ b/measure/capacity/real_rig.cpp
@@ -13,7 +13,7 @@
 namespace myrtlecroft::capacity {
 namespace {
 
-constexpr int kPollMs = 20;
+constexpr int kPollMs = 50;
 constexpr int kStartLimitMs = 60'000;
 constexpr int kCallersLimitMs = 90'000;
 constexpr int kChangeLimitMs = 10'000;
--- a/measure/capacity/real_server_process.cpp
+++ b/measure/capacity/real_server_process.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <memory>
@@ -125,8 +126,10 @@
   return std::chrono::duration<double>(Clock::now() - then).count();
 }
 
+using Processes = std::vector<std::unique_ptr<ServerProcess>>;
+
 template <class Done>
-bool read_until(std::vector<std::unique_ptr<ServerProcess>>& all, int limit_ms, Done done) {
+bool read_until(Processes& all, int limit_ms, Done done) {
   auto begun = Clock::now();
   while (seconds_since(begun) * 1e3 < limit_ms) {
     for (auto& one : all) one->read();
@@ -136,25 +139,13 @@
   return false;
 }
 
-}  // namespace
-
-std::vector<ServerProcessCost> measure_server_processes(const std::string& folder,
-                                                        const std::vector<ServerProcessTerms>& terms, int for_ms) {
-  std::set<int> taken;
-  std::vector<std::unique_ptr<ServerProcess>> all;
-  for (const ServerProcessTerms& one : terms) all.push_back(std::make_unique<ServerProcess>(folder, one, taken));
-  bool up = read_until(all, kStartLimitMs, [&] {
-    bool reports = true;
-    for (const auto& one : all) reports = reports && one->reports();
-    return reports;
-  });
-  if (!up) throw std::runtime_error("a server process does not report");
-  std::vector<ServerProcessCost> before;
+ServerProcessCosts measure_round(Processes& all, int for_ms) {
+  ServerProcessCosts before;
   for (const auto& one : all) before.push_back(one->so_far());
   auto begun = Clock::now();
   read_until(all, for_ms, [] { return false; });
   double passed = seconds_since(begun);
-  std::vector<ServerProcessCost> out;
+  ServerProcessCosts out;
   for (std::size_t i = 0; i < all.size(); ++i) {
     ServerProcessCost now = all[i]->so_far();
     out.push_back({.bytes_a_second = (now.bytes_a_second - before[i].bytes_a_second) / passed,
@@ -164,4 +155,21 @@
   return out;
 }
 
+}  // namespace
+
+std::vector<ServerProcessCosts> measure_server_processes(const std::string& folder,
+                                                         const std::vector<ServerProcessTerms>& terms, int rounds,
+                                                         int round_ms) {
+  std::set<int> taken;
+  Processes all;
+  for (const ServerProcessTerms& one : terms) all.push_back(std::make_unique<ServerProcess>(folder, one, taken));
+  bool up = read_until(all, kStartLimitMs, [&] {
+    return std::all_of(all.begin(), all.end(), [](const auto& one) { return one->reports(); });
+  });
+  if (!up) throw std::runtime_error("a server process does not report");
+  std::vector<ServerProcessCosts> out;
+  for (int round = 0; round < rounds; ++round) out.push_back(measure_round(all, round_ms));
+  return out;
+}
+
 }  // namespace myrtlecroft::capacity
--- a/measure/capacity/real_server_process.h
+++ b/measure/capacity/real_server_process.h
@@ -20,8 +20,10 @@
 };
 
 // One process for each of the terms, all at once, reporting as often as a server's settings have it by
-// themselves. Throws std::runtime_error where one of them does not report.
-std::vector<ServerProcessCost> measure_server_processes(const std::string& folder,
-                                                        const std::vector<ServerProcessTerms>& terms, int for_ms);
+// themselves: what each costs in each round. Throws std::runtime_error where one of them does not report.
+using ServerProcessCosts = std::vector<ServerProcessCost>;
+std::vector<ServerProcessCosts> measure_server_processes(const std::string& folder,
+                                                         const std::vector<ServerProcessTerms>& terms, int rounds,
+                                                         int round_ms);
 
 }  // namespace myrtlecroft::capacity
