Services name their servers and the size of subsets; how servers are divided

Cause: every caller is told of every server of every group, and a group can't say where it runs.

Change: groups[].servers and subset_size, subsetting.size, each refused with file, line and field where it makes no sense. routing::Subsets divides a service's servers into subsets, eight times over, by rendezvous hashing with a bound of 1.25 for each zone and priority.

--- a/src/control/saved_state.cpp
+++ b/src/control/saved_state.cpp
@@ -1,6 +1,7 @@
 #include "control/saved_state.h"
 
 #include <array>
+#include <map>
 
 namespace myrtlecroft::control {
 namespace {
@@ -38,7 +39,13 @@
     out.nodes.push_back({node.name(), node.zone(), node.host(), static_cast<std::uint16_t>(node.port()),
                          node.priority(), health_named(node.health()), node.weight(), node.in_flight()});
   }
+  out.service_listeners = in.service_listeners();
+  std::vector<fleet::ServerList> lists(1);  // the first: all nodes
+  for (const ServerList& list : in.server_lists()) {
+    lists.push_back({std::make_shared<const fleet::ServerList::Places>(list.places().begin(), list.places().end())});
+  }
   for (const GroupRoute& group : in.groups()) {
+    if (group.servers() >= lists.size()) return false;
     if (group.effect() > static_cast<std::uint32_t>(Effect::kMutating)) return false;
     routing::GroupRoute route{.name = group.name(),
                               .path = group.path(),
@@ -47,7 +54,9 @@
                               .timeout = group.timeout_ns(),
                               .repeats = {},
                               .admitted = group.admitted(),
-                              .stay_away = group.stay_away_ns()};
+                              .stay_away = group.stay_away_ns(),
+                              .servers = lists[group.servers()],
+                              .subset_size = group.subset_size()};
     const RepeatRule& rule = group.repeats();
     for (std::uint32_t on : rule.on()) {
       if (on > static_cast<std::uint32_t>(routing::RepeatOn::kLate)) return false;
@@ -99,6 +108,14 @@
     to.set_weight(node.weight);
     to.set_in_flight(node.in_flight);
   }
+  out.set_service_listeners(snapshot.service_listeners);
+  std::map<const fleet::ServerList::Places*, std::uint32_t> lists;
+  for (const routing::GroupRoute& group : snapshot.groups) {
+    const auto& places = group.servers.places;
+    if (places && lists.emplace(places.get(), out.server_lists_size() + 1).second) {
+      out.add_server_lists()->mutable_places()->Add(places->begin(), places->end());
+    }
+  }
   for (const routing::GroupRoute& group : snapshot.groups) {
     GroupRoute& to = *out.add_groups();
     to.set_name(group.name);
@@ -115,6 +132,8 @@
     to.mutable_repeats()->set_wait_most_ns(group.repeats.wait_most);
     to.set_admitted(group.admitted);
     to.set_stay_away_ns(group.stay_away);
+    if (!group.servers.all()) to.set_servers(lists.at(group.servers.places.get()));
+    to.set_subset_size(group.subset_size);
   }
   for (const routing::CustomerShare& customer : snapshot.customers) {
     out.add_customers()->set_name(customer.name);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,7 +1,9 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <unordered_map>
 
 #include "settings/document.h"
 
@@ -11,7 +13,8 @@
 using settings::Part;
 
 constexpr std::size_t kMostNodes = 10'000;
-constexpr std::size_t kMostGroups = 200;
+constexpr std::size_t kMostGroups = 10'000;
+constexpr std::size_t kMostCustomers = 200;
 constexpr std::size_t kMostNameLength = 64;
 constexpr std::int64_t kLongest = 86'400'000;  // ms
 constexpr std::int64_t kMostProxies = 100'000;
@@ -60,7 +63,84 @@
   part.bad("repeats", "is none of repeatable, deduplicated, mutating");
 }
 
-Group read_group(Part part) {
+// Nodes by name and by zone. Without it each name in a list would be looked for among all nodes.
+class NodeIndex {
+ public:
+  explicit NodeIndex(const std::vector<Node>& nodes) : nodes_(nodes) {
+    for (std::uint32_t place = 0; place < nodes.size(); ++place) {
+      by_name_[nodes[place].name] = {place};
+      by_name_["zone " + nodes[place].zone].push_back(place);
+    }
+  }
+  // The places of a node, or of all nodes of "zone NAME"; nullptr where it is neither.
+  const ServerList::Places* find(const std::string& name) const {
+    auto found = by_name_.find(name);
+    return found == by_name_.end() ? nullptr : &found->second;
+  }
+  const Node& node(std::uint32_t place) const { return nodes_[place]; }
+  std::size_t size() const { return nodes_.size(); }
+
+ private:
+  const std::vector<Node>& nodes_;
+  std::unordered_map<std::string, ServerList::Places> by_name_;
+};
+
+// What the groups of one file have in common.
+struct GroupContext {
+  const NodeIndex& nodes;
+  std::string listener;
+  std::uint32_t subset_size = 0;  // of groups that name none
+  bool service_listeners = false;
+  std::map<ServerList::Places, std::shared_ptr<const ServerList::Places>> lists;  // equal ones are shared
+};
+
+ServerList read_servers(Part& part, GroupContext& context) {
+  std::vector<std::string> names = part.texts("servers");
+  if (!part.has("servers")) return {};
+  if (names.empty()) part.bad("servers", "names no server");
+  ServerList::Places places;
+  std::set<std::uint32_t> listed;
+  for (const std::string& name : names) {
+    const ServerList::Places* found = context.nodes.find(name);
+    if (!found) part.bad("servers", "'" + name + "' is neither a node nor 'zone NAME'");
+    for (std::uint32_t place : *found) {
+      if (!listed.insert(place).second) {
+        part.bad("servers", "names '" + context.nodes.node(place).name + "' twice, with '" + name + "'");
+      }
+    }
+  }
+  places.assign(listed.begin(), listed.end());
+  auto& shared = context.lists[places];
+  if (!shared) shared = std::make_shared<const ServerList::Places>(places);
+  return {shared};
+}
+
+// A service that is no larger than its subsets is told whole.
+std::uint32_t read_subset_size(Part& part, const ServerList& servers, const GroupContext& context) {
+  std::size_t all = servers.all() ? context.nodes.size() : servers.places->size();
+  auto size = static_cast<std::uint32_t>(part.whole_or("subset_size", context.subset_size, 1, kMostNodes));
+  if (part.has("subset_size") && size > all) {
+    part.bad("subset_size", "is larger than the service, which has " + std::to_string(all) + " servers");
+  }
+  return size < all ? size : 0;
+}
+
+void read_placement(Part& part, Group& group, GroupContext& context) {
+  if (context.service_listeners && group.name == context.listener) {
+    part.bad("name", "is the name of the listener, which callers ask for the whole fleet by");
+  }
+  if (group.effect == Effect::kDeduplicated) {
+    for (const char* name : {"servers", "subset_size"}) {
+      if (part.has(name))
+        part.bad(name, "has no use in a deduplicated group: each of its keys has one owner among all nodes");
+    }
+    return;
+  }
+  group.servers = read_servers(part, context);
+  group.subset_size = read_subset_size(part, group.servers, context);
+}
+
+Group read_group(Part part, GroupContext& context) {
   Group group;
   group.name = name_in(part);
   group.path = part.text_or("path", "/api/v2/" + group.name);
@@ -77,6 +157,7 @@
     part.bad("key_header", "has no use in a mutating group");
   }
   group.most_out = most_out_in(part, "most_out", {});
+  read_placement(part, group, context);
   part.nothing_else();
   return group;
 }
@@ -133,8 +214,8 @@
 }
 
 // The list with each entry read; a name that comes twice is an error at its second place.
-template <class Entry>
-std::vector<Entry> read_list(Part& root, const char* name, std::size_t most, Entry (*read)(Part)) {
+template <class Entry, class Read>
+std::vector<Entry> read_list(Part& root, const char* name, std::size_t most, Read read) {
   std::vector<Entry> out;
   std::set<std::string> names;
   std::vector<Part> parts = root.list(name);
@@ -146,6 +227,48 @@
   return out;
 }
 
+// The size that groups have which name none; 0: none.
+std::uint32_t read_subsetting(Part& root, std::size_t nodes) {
+  auto part = root.part_if("subsetting");
+  if (!part) return 0;
+  auto size = static_cast<std::uint32_t>(part->whole("size", 1, kMostNodes));
+  if (size > nodes)
+    part->bad("size", "is larger than the fleet, which has " + std::to_string(nodes) + " nodes");
+  part->nothing_else();
+  return size;
+}
+
+void read_groups(Part& root, const NodeIndex& nodes, Fleet& out) {
+  GroupContext context{
+      .nodes = nodes, .listener = out.listener, .subset_size = 0, .service_listeners = false, .lists = {}};
+  context.subset_size = read_subsetting(root, nodes.size());
+  std::vector<Part> parts = root.list("groups");
+  context.service_listeners =
+      context.subset_size > 0 ||
+      std::any_of(parts.begin(), parts.end(), [](const Part& part) { return part.has("subset_size"); });
+  out.service_listeners = context.service_listeners;
+  out.groups =
+      read_list<Group>(root, "groups", kMostGroups, [&](Part part) { return read_group(part, context); });
+  if (out.groups.empty()) root.bad("groups", "names no endpoint group");
+}
+
+// Each node that a service is used by, once.
+void name_nodes(const Part& root, const NodeIndex& nodes, Service& service) {
+  std::vector<std::string> names;
+  std::set<std::uint32_t> listed;
+  for (const std::string& used_by : service.used_by) {
+    const ServerList::Places* found = nodes.find(used_by);
+    if (!found) {
+      root.bad("services", "'" + service.name + "' is used by '" + used_by +
+                               "', which is neither a node nor 'zone NAME'");
+    }
+    for (std::uint32_t place : *found) {
+      if (listed.insert(place).second) names.push_back(nodes.node(place).name);
+    }
+  }
+  service.used_by = std::move(names);
+}
+
 }  // namespace
 
 const Node* Fleet::node(const std::string& name) const {
@@ -177,33 +300,18 @@
       root.bad("nodes", "two nodes have the address " + node.address());
     }
   }
-  out.groups = read_list<Group>(root, "groups", kMostGroups, read_group);
-  if (out.groups.empty()) root.bad("groups", "names no endpoint group");
+  const NodeIndex index(out.nodes);
+  read_groups(root, index, out);
   std::set<std::string> paths;
   for (const Group& group : out.groups) {
     if (!paths.insert(group.path).second) root.bad("groups", "two groups have the path " + group.path);
   }
-  out.customers = read_list<Customer>(root, "customers", kMostGroups, read_customer);
+  out.customers = read_list<Customer>(root, "customers", kMostCustomers, read_customer);
   double shares = 0;
   for (const Customer& customer : out.customers) shares += customer.share;
   if (shares > 1 + 1e-9) root.bad("customers", "have shares of more than 1 together");
   out.services = read_list<Service>(root, "services", kMostGroups, read_service);
-  for (Service& service : out.services) {
-    std::vector<std::string> nodes;
-    std::set<std::string> listed;  // one that is named twice counts once
-    for (const std::string& used_by : service.used_by) {
-      bool known = false;
-      for (const Node& node : out.nodes) {
-        if (node.name != used_by && "zone " + node.zone != used_by) continue;
-        known = true;
-        if (listed.insert(node.name).second) nodes.push_back(node.name);
-      }
-      if (!known)
-        root.bad("services", "'" + service.name + "' is used by '" + used_by +
-                                 "', which is neither a node nor 'zone NAME'");
-    }
-    service.used_by = std::move(nodes);
-  }
+  for (Service& service : out.services) name_nodes(root, index, service);
   if (auto outings = root.part_if("outings")) out.outings = read_outings(*outings);
   if (auto bounds = root.part_if("bounds")) out.bounds = read_bounds(*bounds);
   root.nothing_else();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/server_list.h"
 #include "myrtlecroft/terms.h"
 
 namespace myrtlecroft::fleet {
@@ -58,6 +59,8 @@
   Nanos repeat_window = 0;  // of a deduplicated group
   std::string key_header;   // deduplicated: what all tries carry; repeatable: what a read is about, or empty
   MostOut most_out;         // every node serves every group: the least of them binds the fleet
+  ServerList servers = {};
+  std::uint32_t subset_size = 0;  // servers that each caller is told of; 0: all of them
 
   bool operator==(const Group&) const = default;
 };
@@ -100,6 +103,7 @@
   std::vector<Group> groups;
   std::vector<Customer> customers;
   std::vector<Service> services;
+  bool service_listeners = false;  // callers may ask for one service by its name; with subsetting only
   Outings outings;
   Bounds bounds;
 
--- /dev/null
+++ b/src/fleet/server_list.h
@@ -0,0 +1,22 @@
+// The servers that a service runs on.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace myrtlecroft::fleet {
+
+// Places in the fleet's list of nodes, in ascending order. Shared and never changed: thousands of services
+// may name the same zone.
+struct ServerList {
+  using Places = std::vector<std::uint32_t>;
+  std::shared_ptr<const Places> places;  // null: all nodes
+
+  bool all() const { return !places; }
+  bool operator==(const ServerList& other) const {
+    return places == other.places || (places && other.places && *places == *other.places);
+  }
+};
+
+}  // namespace myrtlecroft::fleet
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -107,6 +107,7 @@
   out.retry_budget = fleet_.bounds.retry_budget;
   out.expected_proxies = fleet_.proxies;
   out.closed_for = fleet_.longest_window();
+  out.service_listeners = fleet_.service_listeners;
   for (const Member& member : members_.all()) {
     const NodeRoute* was = route_of(before, member.node.name);
     NodeRoute node{.name = member.node.name,
@@ -134,6 +135,8 @@
                      .repeats = repeat_rule(group, fleet_.bounds)};
     if (i < admission_.admitted().size()) route.admitted = admission_.admitted()[i];
     route.stay_away = static_cast<Nanos>(kAdviceShare * static_cast<double>(group.slo_time));
+    route.servers = group.servers;  // members stand in the order of the file
+    route.subset_size = group.subset_size;
     out.groups.push_back(std::move(route));
   }
   for (const fleet::Customer& customer : fleet_.customers) {
--- a/src/routing/snapshot.cpp
+++ b/src/routing/snapshot.cpp
@@ -1,9 +1,26 @@
 #include "routing/snapshot.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace myrtlecroft::routing {
+namespace {
+
+// What makes a group's servers unfit, as one line; empty when nothing does.
+std::string fault_of_servers(const GroupRoute& group, std::size_t nodes) {
+  if (group.effect == Effect::kDeduplicated && (!group.servers.all() || group.subset_size > 0)) {
+    return "group " + group.name + " has owners and servers of its own";
+  }
+  if (group.servers.all()) return "";
+  const fleet::ServerList::Places& places = *group.servers.places;
+  if (places.empty()) return "group " + group.name + " runs nowhere";
+  bool ascending = std::adjacent_find(places.begin(), places.end(), std::greater_equal<>()) == places.end();
+  if (!ascending || places.back() >= nodes) return "group " + group.name + " runs on no known node";
+  return "";
+}
+
+}  // namespace
 
 const char* name_of(Health health) {
   constexpr const char* names[] = {"healthy", "draining", "out"};
@@ -24,6 +41,10 @@
   if (!healthy) return "no node is healthy";
   for (const GroupRoute& group : snapshot.groups) {
     if (!names.insert("group " + group.name).second) return "group " + group.name + " stands in it twice";
+    if (std::string fault = fault_of_servers(group, snapshot.nodes.size()); !fault.empty()) return fault;
+    if (snapshot.service_listeners && group.name == snapshot.listener) {
+      return "group " + group.name + " has the listener's name";
+    }
     if (group.timeout <= 0) return "group " + group.name + " has no time limit";
     const RepeatRule& rule = group.repeats;
     bool may_have_run = std::any_of(rule.on.begin(), rule.on.end(), [](RepeatOn on) {
--- a/src/routing/snapshot.h
+++ b/src/routing/snapshot.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/server_list.h"
 #include "myrtlecroft/terms.h"
 
 namespace myrtlecroft::routing {
@@ -54,6 +55,8 @@
   RepeatRule repeats;
   std::uint32_t admitted = 10'000;  // of ten thousand; the rest is denied by the proxies, and never ran
   Nanos stay_away = 0;              // told with such a denial
+  fleet::ServerList servers = {};   // places in Snapshot::nodes
+  std::uint32_t subset_size = 0;    // servers that each caller is told of (routing/subsets.h); 0: all of them
 
   bool operator==(const GroupRoute&) const = default;
 };
@@ -76,7 +79,8 @@
   std::vector<NodeRoute> nodes;
   std::vector<GroupRoute> groups;
   std::vector<CustomerShare> customers;
-  std::vector<int> shards;  // place in `nodes` of the one that owns it, or kClosed
+  std::vector<int> shards;         // place in `nodes` of the one that owns it, or kClosed
+  bool service_listeners = false;  // each group has a listener and routes of its own, by its name
 
   bool operator==(const Snapshot&) const = default;
 };
--- /dev/null
+++ b/src/routing/subsets.cpp
@@ -0,0 +1,183 @@
+#include "routing/subsets.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+
+namespace myrtlecroft::routing {
+namespace {
+
+// How much larger than the average a subset's part of a cell may be. With no room to spare, one server that
+// goes would move many others, each into the place that the one before it left.
+constexpr std::size_t kRoomQuarters = 5;  // 1.25
+constexpr std::uint64_t kServiceSeed = 0x5e41;
+
+// A finalizer with good avalanche (splitmix64).
+std::uint64_t mixed(std::uint64_t value) {
+  value += 0x9e3779b97f4a7c15;
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+  return value ^ (value >> 31);
+}
+
+std::uint64_t subset_key(std::uint32_t round, std::uint32_t subset) {
+  return mixed(std::uint64_t{round} << 32 | subset);
+}
+
+std::uint64_t score_of(std::uint64_t who, std::uint64_t subset) { return mixed(who ^ subset); }
+
+// The one of `count` keys that scores highest with `who`.
+template <class Key>
+std::uint32_t highest(std::uint64_t who, std::uint32_t count, Key key) {
+  std::uint32_t best = 0;
+  std::uint64_t best_score = 0;
+  for (std::uint32_t at = 0; at < count; ++at) {
+    std::uint64_t score = score_of(who, key(at));
+    if (at > 0 && score <= best_score) continue;
+    best = at;
+    best_score = score;
+  }
+  return best;
+}
+
+// Servers ask for the subset that scores highest with them; one that is full keeps those that score highest,
+// and whoever it turns away asks for its next. What comes of it does not depend on the order (deferred
+// acceptance), and a server that comes or goes moves only those that want the place it takes or leaves.
+class CellMatching {
+ public:
+  CellMatching(std::vector<std::uint64_t> servers, std::vector<std::uint64_t> subsets, std::size_t most)
+      : servers_(std::move(servers)), subsets_(std::move(subsets)), most_(most), held_(subsets_.size()) {
+    for (std::uint32_t server = 0; server < servers_.size(); ++server) place(server);
+  }
+  template <class Visit>
+  void each(Visit visit) {
+    for (std::size_t subset = 0; subset < held_.size(); ++subset) {
+      for (; !held_[subset].empty(); held_[subset].pop()) visit(subset, held_[subset].top().server);
+    }
+  }
+
+ private:
+  struct Wish {
+    std::uint64_t score = 0;
+    std::uint32_t server = 0;
+    bool operator>(const Wish& other) const {
+      return std::pair(score, server) > std::pair(other.score, other.server);
+    }
+  };
+  // The one that scores highest below `below`; ties do not matter among 64 bits, and would end the search.
+  std::pair<std::size_t, std::uint64_t> next_wish(std::uint32_t server, std::uint64_t below,
+                                                  bool first) const {
+    std::size_t best = subsets_.size();
+    std::uint64_t best_score = 0;
+    for (std::size_t subset = 0; subset < subsets_.size(); ++subset) {
+      std::uint64_t score = score_of(servers_[server], subsets_[subset]);
+      if ((!first && score >= below) || (best < subsets_.size() && score <= best_score)) continue;
+      best = subset;
+      best_score = score;
+    }
+    return {best, best_score};
+  }
+  void place(std::uint32_t server) {
+    bool first = true;
+    std::uint64_t below = 0;
+    for (;;) {
+      auto [subset, score] = next_wish(server, below, first);
+      if (subset == subsets_.size()) return;
+      first = false;
+      below = score;
+      auto& held = held_[subset];
+      held.push({score, server});
+      if (held.size() <= most_) return;
+      Wish refused = held.top();
+      held.pop();
+      server = refused.server;
+      below = refused.score;
+    }
+  }
+
+  std::vector<std::uint64_t> servers_;
+  std::vector<std::uint64_t> subsets_;
+  std::size_t most_;
+  std::vector<std::priority_queue<Wish, std::vector<Wish>, std::greater<>>> held_;  // the lowest on top
+};
+
+}  // namespace
+
+std::uint64_t caller_key(std::string_view id, std::string_view zone) {
+  return XXH3_64bits_withSeed(id.data(), id.size(), XXH3_64bits(zone.data(), zone.size()));
+}
+
+std::uint64_t service_key(std::string_view service) {
+  return XXH3_64bits_withSeed(service.data(), service.size(), kServiceSeed);
+}
+
+Subsets::Subsets(const std::vector<NodeRoute>& nodes, Places servers, std::uint32_t size)
+    : servers_(std::move(servers)),
+      size_(std::max(1u, size)),
+      per_round_((static_cast<std::uint32_t>(servers_.size()) + size_ - 1) / size_) {
+  const std::uint32_t rounds = per_round_ > 1 ? kSubsetRounds : std::min(per_round_, 1u);
+  members_.resize(std::size_t{rounds} * per_round_);
+  for (std::uint32_t round = 0; round < rounds; ++round) divide(round, nodes);
+  for (Places& places : members_) std::sort(places.begin(), places.end());
+}
+
+// Each zone and priority by itself, so that every subset has its part of each.
+void Subsets::divide(std::uint32_t round, const std::vector<NodeRoute>& nodes) {
+  std::map<std::pair<std::string_view, int>, Places> cells;
+  for (std::uint32_t place : servers_) cells[{nodes[place].zone, nodes[place].priority}].push_back(place);
+  for (const auto& [cell, places] : cells) divide_cell(round, places, nodes);
+}
+
+void Subsets::divide_cell(std::uint32_t round, const Places& cell, const std::vector<NodeRoute>& nodes) {
+  std::vector<std::uint64_t> servers;
+  for (std::uint32_t place : cell) {
+    const std::string& name = nodes[place].name;
+    servers.push_back(XXH3_64bits(name.data(), name.size()));
+  }
+  std::vector<std::uint64_t> subsets;
+  for (std::uint32_t subset = 0; subset < per_round_; ++subset) subsets.push_back(subset_key(round, subset));
+  const std::size_t average_up = (cell.size() + per_round_ - 1) / per_round_;
+  const std::size_t with_room = kRoomQuarters * cell.size() / (4 * per_round_);
+  CellMatching matching(std::move(servers), std::move(subsets), std::max(average_up, with_room));
+  matching.each([&](std::size_t subset, std::uint32_t server) {
+    members_[std::size_t{round} * per_round_ + subset].push_back(cell[server]);
+  });
+}
+
+// First the round, then the subset in it: as many hashes as there are rounds and subsets in one, not in all.
+std::size_t Subsets::of_caller(std::uint64_t caller, std::uint64_t service) const {
+  if (members_.size() <= 1) return 0;
+  const std::uint64_t who = mixed(caller ^ service);
+  const std::uint32_t round =
+      highest(who, kSubsetRounds, [](std::uint32_t at) { return subset_key(at, ~0u); });
+  const std::uint32_t subset =
+      highest(who, per_round_, [round](std::uint32_t at) { return subset_key(round, at); });
+  return std::size_t{round} * per_round_ + subset;
+}
+
+std::vector<Subsets::Places> Subsets::in_service(const std::vector<NodeRoute>& nodes) const {
+  std::vector<Places> own(members_.size());
+  for (std::size_t subset = 0; subset < members_.size(); ++subset) {
+    for (std::uint32_t place : members_[subset]) {
+      if (nodes[place].health == Health::kHealthy) own[subset].push_back(place);
+    }
+  }
+  const std::size_t enough = (size_ + 1) / 2;
+  std::vector<Places> out = own;
+  for (std::size_t subset = 0; subset < out.size(); ++subset) {
+    const std::size_t begin = subset / per_round_ * per_round_;
+    for (std::size_t step = 1; step < per_round_ && out[subset].size() < enough; ++step) {
+      const Places& more = own[begin + (subset - begin + step) % per_round_];
+      out[subset].insert(out[subset].end(), more.begin(), more.end());
+    }
+    std::sort(out[subset].begin(), out[subset].end());
+  }
+  return out;
+}
+
+}  // namespace myrtlecroft::routing
--- /dev/null
+++ b/src/routing/subsets.h
@@ -0,0 +1,50 @@
+// Deterministic subsets of a service's servers, and which of them a caller is told of. No I/O.
+//
+// The assignment is made from names, zones and priorities alone, so that it is the same on every instance and
+// over restarts, and health never moves it. docs/design/subsetting.md has the reasons and the bounds.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "routing/snapshot.h"
+
+namespace myrtlecroft::routing {
+
+// Times that the servers of a service are divided anew. In each round every server is in exactly one subset.
+constexpr std::uint32_t kSubsetRounds = 8;
+
+std::uint64_t caller_key(std::string_view id, std::string_view zone);
+std::uint64_t service_key(std::string_view service);
+
+class Subsets {
+ public:
+  using Places = fleet::ServerList::Places;
+
+  // `size`: servers that a subset should have; from 1 to as many as there are.
+  Subsets(const std::vector<NodeRoute>& nodes, Places servers, std::uint32_t size);
+
+  // Of all rounds together.
+  std::size_t count() const { return members_.size(); }
+  std::uint32_t size() const { return size_; }
+  const Places& servers() const { return servers_; }
+  // By the fleet file, whatever the servers' health.
+  const Places& members(std::size_t subset) const { return members_[subset]; }
+  // The subset that a caller is told of.
+  std::size_t of_caller(std::uint64_t caller, std::uint64_t service) const;
+  // The servers that each subset has in service. One with fewer than half its size is filled up from those
+  // after it in its round: none is empty while a server is in service.
+  std::vector<Places> in_service(const std::vector<NodeRoute>& nodes) const;
+
+ private:
+  void divide(std::uint32_t round, const std::vector<NodeRoute>& nodes);
+  void divide_cell(std::uint32_t round, const Places& cell, const std::vector<NodeRoute>& nodes);
+
+  Places servers_;
+  std::uint32_t size_;
+  std::uint32_t per_round_;
+  std::vector<Places> members_;  // by round, then by place within it
+};
+
+}  // namespace myrtlecroft::routing
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <set>
@@ -92,6 +93,78 @@
             "2: nodes: names no node");
 }
 
+const std::string kSubsetted =
+    "version = 1; listener = \"fleet\";\n"
+    "nodes = ( { name = \"n1\"; address = \"127.0.0.1:1\"; }, { name = \"n2\"; address = \"127.0.0.1:2\"; },\n"
+    "  { name = \"n3\"; zone = \"b\"; address = \"127.0.0.1:3\"; } );\n"
+    "subsetting = { size = 2; };\n"
+    "groups = (\n"
+    "  { name = \"read\"; repeats = \"repeatable\"; timeout_ms = 50; },\n"
+    "  { name = \"list\"; repeats = \"mutating\"; timeout_ms = 50; servers = (\"zone b\", \"n1\"); subset_size = 1; },\n"
+    "  { name = \"book\"; repeats = \"deduplicated\"; timeout_ms = 50; window_ms = 50; }\n"
+    ");\n";
+
+TEST(FleetFile, AServiceNamesItsServersAndHowManyEachCallerGets) {
+  Written file(kSubsetted);
+  fleet::Fleet fleet = fleet::read_fleet(file.path());
+  EXPECT_TRUE(fleet.service_listeners);
+  EXPECT_TRUE(fleet.groups[0].servers.all());
+  EXPECT_EQ(fleet.groups[0].subset_size, 2u);
+  EXPECT_EQ(*fleet.groups[1].servers.places, (fleet::ServerList::Places{0, 2}));
+  EXPECT_EQ(fleet.groups[1].subset_size, 1u);
+  EXPECT_EQ(fleet.groups[2].subset_size, 0u) << "its keys have one owner each";
+  Written plain(kGood);
+  EXPECT_FALSE(fleet::read_fleet(plain.path()).service_listeners);
+  EXPECT_EQ(fleet::read_fleet(plain.path()).groups[0].subset_size, 0u);
+}
+
+TEST(FleetFile, ErrorsInServersAndSubsetsNameLineAndField) {
+  auto error = [](const std::string& from, const std::string& to) {
+    std::string text = kSubsetted;
+    return error_of(text.replace(text.find(from), from.size(), to));
+  };
+  EXPECT_EQ(error("\"n1\")", "\"n9\")"), "7: groups[1].servers: 'n9' is neither a node nor 'zone NAME'");
+  EXPECT_EQ(error("\"zone b\"", "\"zone c\""), "7: groups[1].servers: 'zone c' is neither a node nor 'zone NAME'");
+  EXPECT_EQ(error("\"n1\")", "\"n3\")"), "7: groups[1].servers: names 'n3' twice, with 'n3'");
+  EXPECT_EQ(error("(\"zone b\", \"n1\")", "()"), "7: groups[1].servers: names no server");
+  EXPECT_EQ(error("subset_size = 1", "subset_size = 3"),
+            "7: groups[1].subset_size: is larger than the service, which has 2 servers");
+  EXPECT_EQ(error("subset_size = 1", "subset_size = 0"), "7: groups[1].subset_size: is not from 1 to 10000");
+  EXPECT_EQ(error("size = 2", "size = 0"), "4: subsetting.size: is not from 1 to 10000");
+  EXPECT_EQ(error("size = 2", "size = 4"), "4: subsetting.size: is larger than the fleet, which has 3 nodes");
+  EXPECT_EQ(error("size = 2", "sizes = 2"), "4: subsetting.size: is missing");
+  EXPECT_EQ(error("\"read\"", "\"fleet\""),
+            "6: groups[0].name: is the name of the listener, which callers ask for the whole fleet by");
+  for (const char* field : {"servers", "subset_size"}) {
+    std::string more = field == std::string("servers") ? "servers = (\"n1\")" : "subset_size = 1";
+    EXPECT_EQ(error("window_ms = 50", more + "; window_ms = 50"),
+              "8: groups[2]." + std::string(field) +
+                  ": has no use in a deduplicated group: each of its keys has one owner among all nodes");
+  }
+}
+
+// 9,300 services over 6,100 servers: a look through all servers for each name would take minutes.
+TEST(FleetFile, OneOfAWholeRegionIsReadInTime) {
+  std::string text = "version = 1; subsetting = { size = 20; };\nnodes = (";
+  for (int i = 0; i < 6100; ++i) {
+    text += std::string(i ? "," : "") + "{ name = \"n" + std::to_string(i) + "\"; zone = \"z" + std::to_string(i % 3) +
+            "\"; address = \"10.0." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":80\"; }\n";
+  }
+  text += ");\ngroups = (";
+  for (int i = 0; i < 9300; ++i) {
+    text += std::string(i ? "," : "") + "{ name = \"s" + std::to_string(i) + "\"; repeats = \"repeatable\"; timeout_ms = 50; servers = (";
+    for (int k = 0; k < 40; ++k) text += (k ? ",\"n" : "\"n") + std::to_string((i * 7 + k * 101) % 6100) + "\"";
+    text += "); }\n";
+  }
+  Written file(text + ");");
+  auto begun = std::chrono::steady_clock::now();
+  fleet::Fleet fleet = fleet::read_fleet(file.path());
+  double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  RecordProperty("seconds", std::to_string(took));
+  EXPECT_EQ(fleet.groups.size(), 9300u);
+  EXPECT_LT(took, 10.0);
+}
+
 TEST(FleetFile, OneThatIsNotThereIsSaidSo) {
   EXPECT_THROW(fleet::read_fleet("/nowhere/fleet.conf"), settings::DocumentError);
 }
--- /dev/null
+++ b/tests/subsets_test.cpp
@@ -0,0 +1,186 @@
+// Subsets of a service's servers: the same everywhere, even, steady when servers come and go, never empty.
+#include "routing/subsets.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+#include <tuple>
+
+namespace myrtlecroft::routing {
+namespace {
+
+std::vector<NodeRoute> servers(int count, int zones = 3, int first = 0) {
+  std::vector<NodeRoute> out;
+  for (int i = first; i < first + count; ++i) {
+    out.push_back({.name = "n" + std::to_string(i),
+                   .zone = "z" + std::to_string(i % zones),
+                   .host = "127.0.0.1",
+                   .port = 4100,
+                   .health = Health::kHealthy,
+                   .weight = 100});
+  }
+  return out;
+}
+
+Subsets::Places all_of(const std::vector<NodeRoute>& nodes) {
+  Subsets::Places out(nodes.size());
+  std::iota(out.begin(), out.end(), 0u);
+  return out;
+}
+
+using Pair = std::tuple<std::size_t, std::size_t, std::string>;  // round, subset in it, server
+
+std::set<Pair> pairs_of(const Subsets& subsets, const std::vector<NodeRoute>& nodes) {
+  std::set<Pair> out;
+  const std::size_t per_round = subsets.count() / kSubsetRounds;
+  for (std::size_t at = 0; at < subsets.count(); ++at) {
+    for (std::uint32_t place : subsets.members(at))
+      out.emplace(at / per_round, at % per_round, nodes[place].name);
+  }
+  return out;
+}
+
+std::size_t moved_between(const std::vector<NodeRoute>& before, const std::vector<NodeRoute>& after,
+                          std::uint32_t size) {
+  auto one = pairs_of(Subsets(before, all_of(before), size), before);
+  auto other = pairs_of(Subsets(after, all_of(after), size), after);
+  std::vector<Pair> differ;
+  std::set_symmetric_difference(one.begin(), one.end(), other.begin(), other.end(),
+                                std::back_inserter(differ));
+  return differ.size();
+}
+
+TEST(Subsets, OrderOfTheFileChangesNothing) {
+  std::vector<NodeRoute> nodes = servers(300);
+  std::vector<NodeRoute> turned(nodes.rbegin(), nodes.rend());
+  EXPECT_EQ(pairs_of(Subsets(nodes, all_of(nodes), 20), nodes),
+            pairs_of(Subsets(turned, all_of(turned), 20), turned));
+  // Known values: another version of this code must not give callers other subsets unawares.
+  Subsets subsets(nodes, all_of(nodes), 20);
+  EXPECT_EQ(subsets.of_caller(caller_key("caller-1", "z1"), service_key("read")), 85u);
+  EXPECT_EQ(subsets.of_caller(caller_key("caller-1", "z2"), service_key("read")), 1u);
+}
+
+TEST(Subsets, InEachRoundEveryServerIsInOneSubsetAndEverySubsetSpansTheZones) {
+  std::vector<NodeRoute> nodes = servers(300);
+  Subsets subsets(nodes, all_of(nodes), 20);
+  ASSERT_EQ(subsets.count(), 15u * kSubsetRounds);
+  std::vector<std::uint32_t> times(nodes.size());
+  for (std::size_t at = 0; at < subsets.count(); ++at) {
+    std::set<std::string> zones;
+    for (std::uint32_t place : subsets.members(at)) ++times[place], zones.insert(nodes[place].zone);
+    EXPECT_EQ(zones.size(), 3u) << at;
+    EXPECT_GE(subsets.members(at).size(), 10u) << at;
+    EXPECT_LE(subsets.members(at).size(), 25u) << at;
+  }
+  EXPECT_EQ(std::set<std::uint32_t>(times.begin(), times.end()), std::set<std::uint32_t>{kSubsetRounds});
+}
+
+// A server's load: of each of its callers the part that this caller sends to one of its subset.
+TEST(Subsets, CallersAndLoadAreEvenOverServers) {
+  struct Bound {
+    std::uint32_t size;
+    double callers;
+    double load;
+  };
+  for (auto [size, callers_bound, load_bound] :
+       {Bound{5, 1.35, 1.6}, Bound{20, 1.2, 1.35}, Bound{60, 1.1, 1.2}}) {
+    std::vector<NodeRoute> nodes = servers(300);
+    Subsets subsets(nodes, all_of(nodes), size);
+    std::vector<double> callers(nodes.size());
+    std::vector<double> load(nodes.size());
+    constexpr int kCallers = 10'000;
+    for (int i = 0; i < kCallers; ++i) {
+      std::uint64_t caller = caller_key("caller-" + std::to_string(i), i % 2 ? "z1" : "z2");
+      const auto& told = subsets.members(subsets.of_caller(caller, service_key("read")));
+      for (std::uint32_t place : told)
+        ++callers[place], load[place] += 1.0 / static_cast<double>(told.size());
+    }
+    double callers_mean = std::accumulate(callers.begin(), callers.end(), 0.0) / 300;
+    double load_mean = kCallers / 300.0;
+    double callers_most = *std::max_element(callers.begin(), callers.end()) / callers_mean;
+    double load_most = *std::max_element(load.begin(), load.end()) / load_mean;
+    RecordProperty("callers_most_" + std::to_string(size), std::to_string(callers_most));
+    RecordProperty("load_most_" + std::to_string(size), std::to_string(load_most));
+    EXPECT_LT(callers_most, callers_bound) << size;
+    EXPECT_LT(load_most, load_bound) << size;
+  }
+}
+
+// Each round loses or gains one pair; what moves beyond that is bounded.
+TEST(Subsets, AServerThatComesOrGoesMovesNextToNothingElse) {
+  double moved = 0;
+  std::size_t most = 0;
+  constexpr int kTrials = 30;
+  for (int trial = 0; trial < kTrials; ++trial) {
+    std::vector<NodeRoute> before = servers(290);
+    std::vector<NodeRoute> after = before;
+    after.erase(after.begin() + trial * 9);
+    std::size_t differ = moved_between(before, after, 20);
+    moved += static_cast<double>(differ - kSubsetRounds);
+    most = std::max(most, differ - kSubsetRounds);
+    EXPECT_EQ(moved_between(after, before, 20), differ) << "the way back is the same";
+  }
+  RecordProperty("moved_mean", std::to_string(moved / kTrials));
+  EXPECT_LT(moved / kTrials, 2 * kSubsetRounds) << "of 2320 pairs";
+  EXPECT_LT(most, 8 * kSubsetRounds);
+}
+
+// One subset more: it takes its part from all others, and no more.
+TEST(Subsets, AnotherSubsetMovesAboutAsManyAsItHas) {
+  std::size_t moved = moved_between(servers(300), servers(301), 20);
+  RecordProperty("moved", std::to_string(moved));
+  EXPECT_LT(moved, 5u * 20 * kSubsetRounds);
+}
+
+TEST(Subsets, ACallerStaysWhereItIsWhenASubsetIsAdded) {
+  std::vector<NodeRoute> fewer = servers(300);
+  std::vector<NodeRoute> more = servers(301);
+  Subsets before(fewer, all_of(fewer), 20);
+  Subsets after(more, all_of(more), 20);
+  int moved = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    std::uint64_t caller = caller_key("caller-" + std::to_string(i), "z1");
+    std::size_t one = before.of_caller(caller, 7);
+    std::size_t other = after.of_caller(caller, 7);
+    moved += one / 15 != other / 16 || one % 15 != other % 16;
+  }
+  EXPECT_LT(moved, 10'000 / 12);
+}
+
+TEST(Subsets, NoneIsEmptyWhileOneServerIsUp) {
+  for (std::uint32_t size : {1u, 2u, 7u, 20u}) {
+    std::vector<NodeRoute> nodes = servers(61, 5);
+    Subsets subsets(nodes, all_of(nodes), size);
+    for (NodeRoute& node : nodes) node.health = Health::kOut;
+    nodes[17].health = Health::kHealthy;
+    for (const auto& told : subsets.in_service(nodes)) EXPECT_EQ(told, Subsets::Places{17}) << size;
+    nodes[17].health = Health::kDraining;
+    for (const auto& told : subsets.in_service(nodes)) EXPECT_TRUE(told.empty());
+  }
+}
+
+TEST(Subsets, OneWithFewerThanHalfInServiceIsFilledUpAndNoOtherIsTouched) {
+  std::vector<NodeRoute> nodes = servers(300);
+  Subsets subsets(nodes, all_of(nodes), 20);
+  for (std::uint32_t place : subsets.members(3)) nodes[place].health = Health::kOut;
+  auto told = subsets.in_service(nodes);
+  EXPECT_GE(told[3].size(), 10u);
+  for (std::size_t at = 0; at < 15; ++at) {
+    if (at != 3) {
+      EXPECT_EQ(told[at], subsets.members(at)) << "of the same round, at " << at;
+    }
+  }
+}
+
+TEST(Subsets, AZoneThatIsLostLeavesEverySubsetItsOtherZones) {
+  std::vector<NodeRoute> nodes = servers(300);
+  Subsets subsets(nodes, all_of(nodes), 20);
+  for (NodeRoute& node : nodes) node.health = node.zone == "z1" ? Health::kOut : Health::kHealthy;
+  for (const auto& told : subsets.in_service(nodes)) EXPECT_GE(told.size(), 10u);
+}
+
+}  // namespace
+}  // namespace myrtlecroft::routing
