--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -273,7 +273,7 @@
 
 void Control::publish(const routing::Published& published) {
   auto set = xds::make_resources(published, served_.get());
-  if (std::string fault = xds::fault_of(*set); !fault.empty()) {
+  if (std::string fault = xds::fault_of(*set, served_.get()); !fault.empty()) {
     log_.line("a set is not fit to be served, the last one stays: " + fault);
     return;
   }
--- /dev/null
+++ b/src/xds/placement.cpp
@@ -0,0 +1,162 @@
+#include "xds/placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <numeric>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace myrtlecroft::xds {
+namespace {
+
+using routing::Health;
+using routing::NodeRoute;
+
+// A node at its place in both: subsets are made from these.
+bool same_place(const NodeRoute& one, const NodeRoute& other) {
+  return one.name == other.name && one.zone == other.zone && one.priority == other.priority;
+}
+
+// Whether endpoints made from one are those made from the other.
+bool same_endpoint(const NodeRoute& one, const NodeRoute& other) {
+  return same_place(one, other) && one.host == other.host && one.port == other.port &&
+         one.health == other.health && one.weight == other.weight;
+}
+
+}  // namespace
+
+PlacementTable::PlacementTable(const routing::Snapshot& snapshot, const PlacementTable* before)
+    : nodes_(snapshot.nodes.size()), touched_(snapshot.nodes.size(), true), all_(snapshot.nodes.size()) {
+  std::iota(all_.begin(), all_.end(), 0u);
+  for (const NodeRoute& node : snapshot.nodes) in_flight_.push_back(node.in_flight);
+  if (before) share_nodes(snapshot, *before);
+  for (std::size_t place = 0; place < nodes_.size(); ++place) {
+    if (!nodes_[place]) nodes_[place] = std::make_shared<const NodeRoute>(snapshot.nodes[place]);
+  }
+  of_group_.reserve(snapshot.groups.size());
+  for (const routing::GroupRoute& group : snapshot.groups) {
+    if (group.effect == Effect::kDeduplicated) {
+      of_group_.push_back(nullptr);
+      continue;
+    }
+    PlacementPtr& shared = placements_[{group.servers.places.get(), group.subset_size}];
+    if (!shared) {
+      shared = place(snapshot, group, before);
+      lists_.push_back(group.servers);
+    }
+    of_group_.push_back(shared);
+  }
+}
+
+void PlacementTable::share_nodes(const routing::Snapshot& snapshot, const PlacementTable& before) {
+  same_places_ = nodes_.size() == before.nodes_.size();
+  std::unordered_map<std::string_view, NodePtr> known;  // by name; only where places have changed
+  for (std::size_t place = 0; place < nodes_.size(); ++place) {
+    const NodeRoute& now = snapshot.nodes[place];
+    NodePtr old = place < before.nodes_.size() ? before.nodes_[place] : nullptr;
+    if (!old || !same_place(*old, now)) {
+      same_places_ = false;
+      if (known.empty()) {
+        for (const NodePtr& node : before.nodes_) known.emplace(node->name, node);
+      }
+      auto found = known.find(now.name);
+      old = found == known.end() ? nullptr : found->second;
+    }
+    if (!old || !same_endpoint(*old, now)) continue;
+    nodes_[place] = old;
+    touched_[place] = place >= before.in_flight_.size() || before.in_flight_[place] != now.in_flight;
+  }
+}
+
+bool PlacementTable::any_touched(const Places& servers) const {
+  return !same_places_ ||
+         std::any_of(servers.begin(), servers.end(), [&](std::uint32_t place) { return touched_[place]; });
+}
+
+PlacementPtr PlacementTable::place(const routing::Snapshot& snapshot, const routing::GroupRoute& group,
+                                   const PlacementTable* before) const {
+  const bool named = !group.servers.all();
+  const Places& servers = named ? *group.servers.places : all_;
+  PlacementPtr old;
+  if (before) {
+    auto found = before->placements_.find({group.servers.places.get(), group.subset_size});
+    if (found != before->placements_.end()) old = found->second;
+  }
+  if (old && !any_touched(servers)) return old;
+  auto made = std::make_shared<Placement>();
+  made->subsets = subsets_of(snapshot, servers, group.subset_size, old.get());
+  made->serving = serving_of(snapshot, servers, made->subsets.get(), named, old.get());
+  made->in_flight = in_flight_of(servers);
+  made->digest = digest_of(servers, made->subsets.get());
+  return made;
+}
+
+std::shared_ptr<const routing::Subsets> PlacementTable::subsets_of(const routing::Snapshot& snapshot,
+                                                                   const Places& servers, std::uint32_t size,
+                                                                   const Placement* old) const {
+  if (size == 0 || size >= servers.size()) return nullptr;
+  if (old && same_places_) return old->subsets;
+  return std::make_shared<const routing::Subsets>(snapshot.nodes, servers, size);
+}
+
+NodeList PlacementTable::in_service(const Places& servers) const {
+  NodeList out;
+  for (std::uint32_t place : servers) {
+    if (nodes_[place]->health == Health::kHealthy) out.push_back(nodes_[place]);
+  }
+  return out;
+}
+
+NodeList PlacementTable::as_they_are(const Places& servers) const {
+  NodeList out;
+  for (std::uint32_t place : servers) out.push_back(nodes_[place]);
+  return out;
+}
+
+// A service of which nobody is in service keeps its servers as they are: what is sent there is refused there.
+// An empty one would make the whole set unfit, and hold up all other services. Where a service runs on all
+// nodes, none is in service at all, and the last set stays.
+std::vector<NodeListPtr> PlacementTable::serving_of(const routing::Snapshot& snapshot, const Places& servers,
+                                                    const routing::Subsets* subsets, bool named,
+                                                    const Placement* old) const {
+  std::vector<NodeListPtr> out;
+  auto add = [&](NodeList list) {
+    const std::size_t at = out.size();
+    bool same = old && at < old->serving.size() && *old->serving[at] == list;
+    out.push_back(same ? old->serving[at] : std::make_shared<const NodeList>(std::move(list)));
+  };
+  if (!subsets) {
+    NodeList list = in_service(servers);
+    add(list.empty() && named ? as_they_are(servers) : std::move(list));
+    return out;
+  }
+  for (const Places& told : subsets->in_service(snapshot.nodes)) {
+    add(told.empty() && named ? as_they_are(servers) : as_they_are(told));
+  }
+  return out;
+}
+
+double PlacementTable::in_flight_of(const Places& servers) const {
+  double all = 0;
+  for (std::uint32_t place : servers) {
+    if (nodes_[place]->health != Health::kHealthy) continue;
+    if (in_flight_[place] == 0) return 0;
+    all += in_flight_[place];
+  }
+  return all;
+}
+
+std::uint64_t PlacementTable::digest_of(const Places& servers, const routing::Subsets* subsets) const {
+  std::string all = std::to_string(subsets ? subsets->size() : 0);
+  for (std::uint32_t place : servers) {
+    const NodeRoute& node = *nodes_[place];
+    for (const std::string* text : {&node.name, &node.zone, &node.host}) (all += '\n') += *text;
+    all += '\n' + std::to_string(node.port) + ' ' + std::to_string(node.priority) + ' ' +
+           routing::name_of(node.health) + ' ' + std::to_string(node.weight);
+  }
+  return XXH3_64bits(all.data(), all.size());
+}
+
+}  // namespace myrtlecroft::xds
--- /dev/null
+++ b/src/xds/resource_builder.cpp
@@ -0,0 +1,232 @@
+// Sets of resources, each made from what differs from the one before.
+#include <algorithm>
+#include <utility>
+
+#include "xds/cluster_messages.h"
+#include "xds/endpoint_messages.h"
+#include "xds/placement.h"
+#include "xds/resources.h"
+#include "xds/route_messages.h"
+#include "xds/serialise.h"
+#include "xds/subset_resources.h"
+
+namespace myrtlecroft::xds {
+
+struct SetOrigin {
+  routing::Snapshot snapshot;
+  PlacementTable placements;
+};
+
+namespace {
+
+using google::protobuf::Message;
+using routing::GroupRoute;
+using routing::NodeRoute;
+using routing::Snapshot;
+
+constexpr std::size_t kMostLate = 1000;  // clusters that are gone, remembered; of the newest that went first
+
+bool has_owners(const Snapshot& snapshot) {
+  return std::any_of(snapshot.groups.begin(), snapshot.groups.end(),
+                     [](const GroupRoute& group) { return group.effect == Effect::kDeduplicated; });
+}
+
+// Whether routes made from one are those made from the other.
+bool same_route(const GroupRoute& one, const GroupRoute& other) {
+  return one.name == other.name && one.path == other.path && one.effect == other.effect &&
+         one.key_header == other.key_header && one.timeout == other.timeout && one.repeats == other.repeats &&
+         one.stay_away == other.stay_away;
+}
+
+class ResourceBuilder {
+ public:
+  ResourceBuilder(const Snapshot& from, const ResourceSet* before)
+      : before_(before),
+        old_(before ? before->origin.get() : nullptr),
+        origin_(std::make_shared<SetOrigin>(
+            SetOrigin{from, PlacementTable(from, old_ ? &old_->placements : nullptr)})),
+        from_(origin_->snapshot),
+        placements_(origin_->placements),
+        owners_(has_owners(from_)),
+        same_owners_(find_same_owners()) {}
+
+  std::shared_ptr<const ResourceSet> make(std::uint64_t number) {
+    out_->number = number;
+    out_->origin = origin_;
+    for (std::size_t at = 0; at < from_.groups.size(); ++at) add_group(at);
+    for (std::size_t place = 0; owners_ && place < from_.nodes.size(); ++place) add_node(place);
+    add_fleet_routes();
+    for (std::size_t at = 0; from_.service_listeners && at < from_.groups.size(); ++at) add_service(at);
+    add_listener(from_.listener);
+    if (!same_runtime()) add(Type::kRuntime, kRuntimeName, runtime_message(from_), {});
+    compare();
+    return out_;
+  }
+
+ private:
+  // ---- What stays
+
+  Resources& of(Type type) { return out_->by_type[static_cast<std::size_t>(type)]; }
+  ResourcePtr old_resource(Type type, const std::string& name) const {
+    if (!before_) return nullptr;
+    auto found = before_->of(type).find(name);
+    return found == before_->of(type).end() ? nullptr : found->second;
+  }
+  // True where there was one by this name: it stays.
+  bool keep(Type type, const std::string& name) {
+    ResourcePtr old = old_resource(type, name);
+    if (!old) return false;
+    of(type)[name] = std::move(old);
+    return true;
+  }
+  void put(Type type, ResourcePtr made) {
+    ResourcePtr old = old_resource(type, made->name);
+    bool same = old && old->version == made->version;
+    std::string name = made->name;
+    of(type)[name] = same ? std::move(old) : std::move(made);
+  }
+  void add(Type type, const std::string& name, const Message& message, std::vector<std::string> refers) {
+    put(type, make_resource(type, name, message, std::move(refers)));
+  }
+  // The group at the same place before, where it had the same name.
+  const GroupRoute* old_group(std::size_t at) const {
+    if (!old_ || at >= old_->snapshot.groups.size()) return nullptr;
+    const GroupRoute& old = old_->snapshot.groups[at];
+    return old.name == from_.groups[at].name ? &old : nullptr;
+  }
+  // All that routes by owner are made from, beside their group.
+  bool find_same_owners() const {
+    return old_ && placements_.same_places() && old_->snapshot.shards == from_.shards &&
+           old_->snapshot.shard_digits == from_.shard_digits && old_->snapshot.closed_for == from_.closed_for;
+  }
+  bool same_routes_of(std::size_t at) const {
+    const GroupRoute* old = old_group(at);
+    return old && same_route(*old, from_.groups[at]) &&
+           (same_owners_ || from_.groups[at].effect != Effect::kDeduplicated);
+  }
+
+  // ---- Clusters and endpoints
+
+  void add_group(std::size_t at) {
+    const GroupRoute& group = from_.groups[at];
+    if (group.effect == Effect::kDeduplicated) return;
+    const std::string name = cluster_of_group(group.name);
+    const PlacementPtr& placement = placements_.of_group(at);
+    const GroupRoute* old = old_group(at);
+    bool placed_as_before = old && old_->placements.of_group(at) == placement;
+    bool same_cluster = placed_as_before && old->key_header == group.key_header &&
+                        old_->snapshot.retry_budget == from_.retry_budget;
+    bool same_endpoints = placed_as_before && dropped_of(*old) == dropped_of(group);
+    if (!same_cluster || !keep(Type::kClusters, name)) {
+      std::uint32_t in_flight = placement->in_flight > 0 ? in_flight_step(placement->in_flight) : 0;
+      add(Type::kClusters, name, group_cluster(group, in_flight, from_.retry_budget), {name});
+    }
+    if (same_endpoints && keep(Type::kEndpoints, name)) return;
+    if (placement->subsets) {
+      put(Type::kEndpoints,
+          make_subset_resource(group, placement, old_resource(Type::kEndpoints, name).get()));
+    } else {
+      add(Type::kEndpoints, name, service_endpoints(name, *placement->serving[0], dropped_of(group)), {});
+    }
+  }
+
+  void add_node(std::size_t place) {
+    const NodeRoute& node = from_.nodes[place];
+    const std::string name = cluster_of_node(node.name);
+    bool same = placements_.same_places() && !placements_.touched(place) &&
+                old_->snapshot.retry_budget == from_.retry_budget;
+    if (same && keep(Type::kClusters, name) && keep(Type::kEndpoints, name)) return;
+    add(Type::kClusters, name, node_cluster(node, from_.retry_budget), {name});
+    add(Type::kEndpoints, name, node_endpoints(node), {});
+  }
+
+  // ---- Listeners, routes and runtime layer
+
+  void add_routes(const std::string& name, RouteMessage made) {
+    add(Type::kRoutes, name, made.routes, {made.clusters.begin(), made.clusters.end()});
+  }
+
+  void add_fleet_routes() {
+    bool same = old_ && old_->snapshot.listener == from_.listener &&
+                old_->snapshot.groups.size() == from_.groups.size();
+    for (std::size_t at = 0; same && at < from_.groups.size(); ++at) same = same_routes_of(at);
+    if (!same || !keep(Type::kRoutes, from_.listener)) add_routes(from_.listener, fleet_routes(from_));
+  }
+
+  void add_service(std::size_t at) {
+    const GroupRoute& group = from_.groups[at];
+    add_listener(group.name);
+    bool same = old_ && old_->snapshot.service_listeners && same_routes_of(at);
+    if (!same || !keep(Type::kRoutes, group.name)) add_routes(group.name, service_routes(from_, group));
+  }
+
+  // A listener is made from its name alone.
+  void add_listener(const std::string& name) {
+    if (!keep(Type::kListeners, name)) add(Type::kListeners, name, listener_message(name), {name});
+  }
+
+  bool same_runtime() {
+    if (!old_ || old_->snapshot.customers != from_.customers ||
+        old_->snapshot.groups.size() != from_.groups.size()) {
+      return false;
+    }
+    for (std::size_t at = 0; at < from_.groups.size(); ++at) {
+      const GroupRoute* old = old_group(at);
+      const GroupRoute& group = from_.groups[at];
+      if (!old || old->effect != group.effect) return false;
+      if (group.effect == Effect::kMutating && old->admitted != group.admitted) return false;
+    }
+    return keep(Type::kRuntime, kRuntimeName);
+  }
+
+  // ---- What is new
+
+  void compare() {
+    out_->before = before_ ? before_->number : 0;
+    for (std::size_t type = 0; type < kTypes; ++type) compare(type);
+    if (!before_) return;
+    const Resources& now = out_->of(Type::kClusters);
+    for (const Resources* old : {&before_->of(Type::kClusters), &before_->late_clusters}) {
+      for (const auto& [name, resource] : *old) {
+        if (!now.contains(name) && out_->late_clusters.size() < kMostLate)
+          out_->late_clusters.emplace(name, resource);
+      }
+    }
+  }
+
+  // Both maps are in the order of names.
+  void compare(std::size_t type) {
+    const Resources& now = out_->by_type[type];
+    if (before_) {
+      const Resources& old = before_->by_type[type];
+      auto had = old.begin();
+      for (const auto& [name, resource] : now) {
+        for (; had != old.end() && had->first < name; ++had) out_->fewer[type] = true;
+        bool there = had != old.end() && had->first == name;
+        if (!there || had->second != resource) out_->changed[type].push_back(resource);
+        if (there) ++had;
+      }
+      out_->fewer[type] = out_->fewer[type] || had != old.end();
+    }
+    bool same = before_ && out_->changed[type].empty() && !out_->fewer[type];
+    out_->versions[type] = same ? before_->versions[type] : version_of(now);
+  }
+
+  const ResourceSet* before_;
+  const SetOrigin* old_;
+  std::shared_ptr<const SetOrigin> origin_;
+  const Snapshot& from_;
+  const PlacementTable& placements_;
+  bool owners_;
+  bool same_owners_;
+  std::shared_ptr<ResourceSet> out_ = std::make_shared<ResourceSet>();
+};
+
+}  // namespace
+
+std::shared_ptr<const ResourceSet> make_resources(const routing::Published& published,
+                                                  const ResourceSet* before) {
+  return ResourceBuilder(published.snapshot, before).make(published.number);
+}
+
+}  // namespace myrtlecroft::xds
--- a/src/xds/resources.h
+++ b/src/xds/resources.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,16 +25,28 @@
 const char* name_of(Type type);
 std::optional<Type> type_of(std::string_view url);
 
+class SubsetResources;
+struct SetOrigin;
+
 struct Resource {
   std::string name;
   std::string version;
   std::string plain;                // as a field of DiscoveryResponse, tag and length included
   std::string wrapped;              // as a field of DeltaDiscoveryResponse, with version and name
   std::vector<std::string> refers;  // names of the resources it can't do without
+  // Endpoints of a service with subsets: this one stands for those of each subset, and is never sent itself.
+  std::shared_ptr<const SubsetResources> subsets = nullptr;
 };
 using ResourcePtr = std::shared_ptr<const Resource>;
 using Resources = std::map<std::string, ResourcePtr>;
 
+// Who is served. Callers with the same subset of a service share its resource.
+struct Caller {
+  std::uint64_t key = 0;  // routing::caller_key
+};
+// What this caller is told in the place of a resource of a set.
+ResourcePtr resolved(const ResourcePtr& resource, const Caller& caller);
+
 struct ResourceSet {
   std::uint64_t number = 0;  // of the publication
   std::array<Resources, kTypes> by_type;
@@ -45,6 +58,8 @@
   // Clusters of sets before this one: a proxy that comes back with one of those needs them until it has the
   // routes of this one.
   Resources late_clusters;
+  // What it was made from, so that the next one is made from what differs.
+  std::shared_ptr<const SetOrigin> origin;
 
   const Resources& of(Type type) const { return by_type[static_cast<std::size_t>(type)]; }
 };
@@ -52,13 +67,14 @@
 // All 16 digits: versions and digests as they are shown.
 std::string hex(std::uint64_t value);
 
-// What did not change since `before` is taken over from there.
+// What did not change since `before` is taken over from there: the set is the same as one made from nothing,
+// but only what changed is made.
 std::shared_ptr<const ResourceSet> make_resources(const routing::Published& published,
                                                   const ResourceSet* before);
 
 // What makes a set unfit to be served, as one line; empty when nothing does. It looks at what was serialised,
-// not at the snapshot it came from.
-std::string fault_of(const ResourceSet& set);
+// not at the snapshot it came from. What the set shares with `before`, a fit one, is not looked at again.
+std::string fault_of(const ResourceSet& set, const ResourceSet* before = nullptr);
 
 // A hash of names and versions.
 std::string version_of(const Resources& resources);
--- /dev/null
+++ b/src/xds/serialise.cpp
@@ -0,0 +1,68 @@
+#include "xds/serialise.h"
+
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <xxhash.h>
+
+#include <utility>
+
+#include "discovery.pb.h"
+
+namespace myrtlecroft::xds {
+namespace {
+
+namespace discovery = envoy::service::discovery::v3;
+using google::protobuf::Message;
+
+std::string serialised(const Message& message) {
+  std::string out;
+  {
+    google::protobuf::io::StringOutputStream stream(&out);
+    google::protobuf::io::CodedOutputStream coded(&stream);
+    coded.SetSerializationDeterministic(true);  // maps have no order of their own
+    message.SerializeToCodedStream(&coded);
+  }
+  return out;
+}
+
+// A length-delimited field: tag, length, bytes.
+std::string field(std::uint32_t number, const std::string& bytes) {
+  std::string out;
+  {
+    google::protobuf::io::StringOutputStream stream(&out);
+    google::protobuf::io::CodedOutputStream coded(&stream);
+    coded.WriteTag(number << 3 | 2);
+    coded.WriteVarint32(static_cast<std::uint32_t>(bytes.size()));
+    coded.WriteString(bytes);
+  }
+  return out;
+}
+
+}  // namespace
+
+ResourcePtr make_resource(Type type, const std::string& name, const Message& message,
+                          std::vector<std::string> refers) {
+  std::string bytes = serialised(message);
+  auto made = std::make_shared<Resource>();
+  made->name = name;
+  made->version = hex(XXH3_64bits(bytes.data(), bytes.size()));
+  made->refers = std::move(refers);
+  google::protobuf::Any any;
+  any.set_type_url(url_of(type));
+  any.set_value(std::move(bytes));
+  std::string packed = serialised(any);
+  made->plain = field(discovery::DiscoveryResponse::kResourcesFieldNumber, packed);
+  std::string wrapped = field(discovery::Resource::kVersionFieldNumber, made->version) +
+                        field(discovery::Resource::kResourceFieldNumber, packed) +
+                        field(discovery::Resource::kNameFieldNumber, name);
+  made->wrapped = field(discovery::DeltaDiscoveryResponse::kResourcesFieldNumber, wrapped);
+  return made;
+}
+
+bool parse_back(const Resource& resource, Message& out) {
+  discovery::DiscoveryResponse response;
+  return response.ParseFromString(resource.plain) && response.resources_size() == 1 &&
+         out.ParseFromString(response.resources(0).value());
+}
+
+}  // namespace myrtlecroft::xds
--- a/src/xds/session.cpp
+++ b/src/xds/session.cpp
@@ -17,12 +17,6 @@
 // Types of which something may stay for a while after it has left the set.
 bool may_linger(Type type) { return type == Type::kClusters || type == Type::kEndpoints; }
 
-ResourcePtr found_in(const ResourceSet* set, Type type, const std::string& name) {
-  if (!set) return nullptr;
-  auto found = set->of(type).find(name);
-  return found == set->of(type).end() ? nullptr : found->second;
-}
-
 }  // namespace
 
 const char* name_of(Fault fault) {
@@ -34,23 +28,26 @@
   return wildcard || std::binary_search(names.begin(), names.end(), name);
 }
 
-Session::Has Session::Subscription::has(Type type, const std::string& name) const {
-  if (auto other = differs.find(name); other != differs.end()) return other->second;
-  ResourcePtr resource = found_in(base.get(), type, name);
-  return resource ? Has{resource->version, resource} : Has{};
-}
-
 bool Session::Subscription::has_any(Type type, const std::string& name) const {
   if (auto other = differs.find(name); other != differs.end()) return !other->second.version.empty();
   return base && base->of(type).contains(name);
 }
 
-bool Session::Subscription::has_version(Type type, const std::string& name,
-                                        const std::string& version) const {
-  if (auto other = differs.find(name); other != differs.end()) return other->second.version == version;
-  if (!base) return false;
-  auto found = base->of(type).find(name);
-  return found != base->of(type).end() && found->second->version == version;
+ResourcePtr Session::find(const ResourceSet* set, Type type, const std::string& name) const {
+  if (!set) return nullptr;
+  auto found = set->of(type).find(name);
+  return found == set->of(type).end() ? nullptr : resolved(found->second, caller_);
+}
+
+Session::Has Session::has(Type type, const std::string& name) const {
+  const Subscription& state = of(type);
+  if (auto other = state.differs.find(name); other != state.differs.end()) return other->second;
+  ResourcePtr resource = find(state.base.get(), type, name);
+  return resource ? Has{resource->version, resource} : Has{};
+}
+
+bool Session::has_version(Type type, const Resource& resource) const {
+  return has(type, resource.name).version == resource.version;
 }
 
 // ---- What the proxy says
@@ -74,6 +71,11 @@
 
 void Session::offer(std::shared_ptr<const ResourceSet> set) {
   applied();
+  // Another set of the same publication, as the one without an open shard is: what was told of that one says
+  // nothing of this, and a caller that got the closed one first would never hear of the open shards.
+  if (target_ && set && set != target_ && set->number == target_->number) {
+    for (Subscription& state : subscriptions_) state.synced = 0;
+  }
   target_ = std::move(set);
 }
 
@@ -101,10 +103,10 @@
   routes_once_ = routes_once_ || (type == Type::kRoutes && !state.pending->resources.empty());
   for (ResourcePtr& resource : state.pending->resources) {
     auto refused = state.refused.find(resource->name);
-    bool stand_in = refused != state.refused.end() && found_in(target_.get(), type, resource->name) &&
-                    found_in(target_.get(), type, resource->name)->version == refused->second.first;
+    ResourcePtr now = refused == state.refused.end() ? nullptr : find(target_.get(), type, resource->name);
+    bool stand_in = now && now->version == refused->second.first;
     if (refused != state.refused.end() && !stand_in) state.refused.erase(refused);
-    if (type == Type::kClusters && !state.has_version(type, resource->name, resource->version)) {
+    if (type == Type::kClusters && !has_version(type, *resource)) {
       forget_endpoints(resource->name);
     }
     state.differs[resource->name] = {resource->version, resource};
@@ -134,7 +136,7 @@
   std::vector<ResourcePtr> suspects;
   std::vector<ResourcePtr> named;
   for (const ResourcePtr& resource : state.pending->resources) {
-    if (state.has_version(type, resource->name, resource->version)) continue;
+    if (has_version(type, *resource)) continue;
     suspects.push_back(resource);
     if (reason.find(resource->name) != std::string::npos) named.push_back(resource);
   }
@@ -206,8 +208,13 @@
   if (!state.subscribed) return !of(Type::kClusters).wildcard;
   if (state.pending) return false;
   const Resources& now = target_->of(Type::kRoutes);
-  return std::all_of(now.begin(), now.end(), [&](const auto& one) {
-    return !state.wants(one.first) || state.has_version(Type::kRoutes, one.first, one.second->version);
+  if (state.wildcard) {
+    return std::all_of(now.begin(), now.end(),
+                       [&](const auto& one) { return has_version(Type::kRoutes, *one.second); });
+  }
+  return std::all_of(state.names.begin(), state.names.end(), [&](const std::string& name) {
+    auto found = now.find(name);
+    return found == now.end() || has_version(Type::kRoutes, *found->second);
   });
 }
 
@@ -247,19 +254,23 @@
   const bool news = only_news(type, state);
   const bool whole = form_ == Form::kStateOfTheWorld && told_whole(type);
   if (news) {
-    for (const ResourcePtr& resource : target_->changed[static_cast<std::size_t>(type)]) {
-      if (state.wants(resource->name)) out.changed.push_back(resource);
+    for (const ResourcePtr& changed : target_->changed[static_cast<std::size_t>(type)]) {
+      if (!state.wants(changed->name)) continue;
+      // Of a service with subsets another one may have changed than this caller's.
+      ResourcePtr resource = resolved(changed, caller_);
+      if (!has_version(type, *resource)) out.changed.push_back(std::move(resource));
     }
     if (!whole || out.changed.empty()) return out;
   }
-  auto take = [&](const std::string& name, ResourcePtr resource) {
+  auto take = [&](const std::string& name, const ResourcePtr& in_set) {
+    ResourcePtr resource = resolved(in_set, caller_);
     auto refused = state.refused.find(name);
     bool held_back = refused != state.refused.end() && refused->second.first == resource->version;
     bool too_early = type == Type::kRoutes && !usable(*resource);
     if (too_early) out.complete = false;
-    if (held_back || too_early) resource = state.has(type, name).resource;
+    if (held_back || too_early) resource = has(type, name).resource;
     if (!resource) return;
-    if (!news && !state.has_version(type, name, resource->version)) out.changed.push_back(resource);
+    if (!news && !has_version(type, *resource)) out.changed.push_back(resource);
     if (whole) out.whole.push_back(std::move(resource));
   };
   if (state.wildcard) {
@@ -276,23 +287,23 @@
   if (lingers && whole && !routes_once_) {
     out.complete = false;
     for (const auto& [name, resource] : target_->late_clusters) {
-      if (!all.contains(name)) take(name, resource);
+      if (!all.contains(name) && state.wants(name)) take(name, resource);
     }
   }
   auto look_at_old = [&](const std::string& name) {
     if (all.contains(name) || !state.wants(name)) return;
-    Has has = state.has(type, name);
-    if (has.version.empty()) return;
+    Has had = has(type, name);
+    if (had.version.empty()) return;
     if (!lingers && !(type == Type::kEndpoints && has_cluster(name))) {
       out.gone.push_back(name);
       return;
     }
     out.complete = false;
-    if (whole && has.resource && (routes_once_ || !target_->late_clusters.contains(name))) {
-      out.whole.push_back(has.resource);
+    if (whole && had.resource && (routes_once_ || !target_->late_clusters.contains(name))) {
+      out.whole.push_back(had.resource);
     }
   };
-  for (const auto& [name, has] : state.differs) look_at_old(name);
+  for (const auto& [name, known] : state.differs) look_at_old(name);
   if (state.base && state.base != target_) {
     for (const auto& [name, resource] : state.base->of(type)) {
       if (!state.differs.contains(name)) look_at_old(name);
@@ -316,7 +327,7 @@
   state.synced = complete ? target_->number : 0;
   if (!complete || !state.refused.empty()) return;
   std::erase_if(state.differs, [&](const auto& one) {
-    ResourcePtr now = found_in(target_.get(), type, one.first);
+    ResourcePtr now = find(target_.get(), type, one.first);
     return now ? now->version == one.second.version || !state.wants(one.first) : one.second.version.empty();
   });
   state.base = target_;
--- a/src/xds/session.h
+++ b/src/xds/session.h
@@ -55,6 +55,8 @@
  public:
   explicit Session(Form form) : form_(form) {}
 
+  // Who is served: it decides which subsets of services it is told of. Before the first set is offered.
+  void set_caller(const Caller& caller) { caller_ = caller; }
   // A newer set. The one before is let go of as soon as nothing of it is needed.
   void offer(std::shared_ptr<const ResourceSet> set);
   Fault request(const Request& request, Nanos now);
@@ -96,9 +98,7 @@
     std::map<std::string, std::pair<std::string, std::string>> refused;  // name -> version, reason
 
     bool wants(const std::string& name) const;
-    Has has(Type type, const std::string& name) const;
     bool has_any(Type type, const std::string& name) const;
-    bool has_version(Type type, const std::string& name, const std::string& version) const;
   };
   // What should go out of one type, were it told now.
   struct Plan {
@@ -111,6 +111,11 @@
   Subscription& of(Type type) { return subscriptions_[static_cast<std::size_t>(type)]; }
   const Subscription& of(Type type) const { return subscriptions_[static_cast<std::size_t>(type)]; }
 
+  // What this caller is told of a set under a name; null where there is nothing.
+  ResourcePtr find(const ResourceSet* set, Type type, const std::string& name) const;
+  Has has(Type type, const std::string& name) const;
+  bool has_version(Type type, const Resource& resource) const;
+
   void heed(Subscription& state, const Request& request);
   void accept(Subscription& state, Type type);
   void forget_endpoints(const std::string& cluster);
@@ -127,6 +132,7 @@
   void settle(Type type, Subscription& state, bool complete);
 
   Form form_;
+  Caller caller_;
   std::shared_ptr<const ResourceSet> target_;
   std::array<Subscription, kTypes> subscriptions_;
   DecayingSum requests_{kSecond};
--- a/src/xds/session_table.cpp
+++ b/src/xds/session_table.cpp
@@ -1,8 +1,11 @@
 #include "xds/session_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "routing/subsets.h"
+
 namespace myrtlecroft::xds {
 namespace {
 
@@ -13,12 +16,7 @@
 }  // namespace
 
 StreamId SessionTable::open(Form form, std::string peer) {
-  Stream stream{.session = Session(form), .id = "", .zone = "", .peer = std::move(peer)};
-  if (set_ && !gate_) {
-    stream.session.offer(set_);
-    stream.offered = Stream::Offered::kWhole;
-  }
-  streams_.emplace(++last_, std::move(stream));
+  streams_.emplace(++last_, Stream{.session = Session(form), .id = "", .zone = "", .peer = std::move(peer)});
   return last_;
 }
 
@@ -38,17 +36,47 @@
   stream.offered = fresh ? Stream::Offered::kWhole : Stream::Offered::kClosed;
 }
 
+void SessionTable::offer(Stream& stream, Nanos now) {
+  if (gate_) return offer_through_gate(stream, now);
+  if (!set_ || stream.offered != Stream::Offered::kNothing) return;
+  stream.session.offer(set_);
+  stream.offered = Stream::Offered::kWhole;
+}
+
+void SessionTable::add_gone(Gone gone) {
+  gone_.push_back(std::move(gone));
+  gone_by_id_.emplace(gone_.back().id, std::prev(gone_.end()));
+}
+
+SessionTable::GoneList::iterator SessionTable::erase_gone(GoneList::iterator one) {
+  auto [first, last] = gone_by_id_.equal_range(one->id);
+  gone_by_id_.erase(std::find_if(first, last, [&](const auto& entry) { return entry.second == one; }));
+  return gone_.erase(one);
+}
+
+SessionTable::GoneList::iterator SessionTable::find_gone(const std::string& id, StreamId stream) {
+  auto [first, last] = gone_by_id_.equal_range(id);
+  auto found = std::find_if(first, last, [&](const auto& entry) { return stream > entry.second->last; });
+  return found == last ? gone_.end() : found->second;
+}
+
 void SessionTable::close(StreamId id, Nanos now) {
   auto found = streams_.find(id);
   if (found == streams_.end()) return;
   Stream& stream = found->second;
-  auto before = std::find_if(gone_.begin(), gone_.end(),
-                             [&](const Gone& one) { return one.id == stream.id && id > one.last; });
-  if (!stream.counted && stream.session.applied() == 0 && before != gone_.end()) {
+  auto before = find_gone(stream.id, id);
+  const std::uint64_t applied = stream.session.applied();
+  const bool was_gone = !stream.counted && before != gone_.end();
+  if (was_gone && applied == 0) {
     before->since = now;  // it has still what it had before this stream
   } else if (stream.session.routes() && !stream.id.empty()) {
-    if (gone_.size() >= kMostGone) gone_.erase(gone_.begin());
-    gone_.push_back({stream.id, stream.session.applied(), now, last_});
+    // Nobody has looked since it came: what it had before this stream, it has no more.
+    if (was_gone) erase_gone(before);
+    if (gone_.size() >= kMostGone) erase_gone(gone_.begin());
+    add_gone({stream.id, applied, now, last_});
+  }
+  if (auto same = streams_of_.find(stream.id); same != streams_of_.end() && --same->second == 0) {
+    streams_of_.erase(same);
   }
   streams_.erase(found);
 }
@@ -56,24 +84,30 @@
 void SessionTable::publish(std::shared_ptr<const ResourceSet> set) {
   set_ = std::move(set);
   for (auto& [id, stream] : streams_) {
-    if (gate_ && stream.offered == Stream::Offered::kNothing) continue;  // its turn comes with the gate
+    // Its turn comes with the gate, or once it has asked.
+    if (stream.offered == Stream::Offered::kNothing && (gate_ || !stream.asked)) continue;
     stream.session.offer(set_);
     stream.offered = Stream::Offered::kWhole;
   }
 }
 
+void SessionTable::name(Stream& stream, const std::string& id, const std::string& zone) {
+  stream.id = id.substr(0, kLongestId);
+  stream.zone = zone.substr(0, kLongestId);
+  if (stream.offered == Stream::Offered::kNothing) {
+    stream.session.set_caller({routing::caller_key(stream.id, stream.zone)});
+  }
+  if (++streams_of_[stream.id] > 1) {
+    log_("proxy " + stream.id + " is here twice: each stream is served for itself");
+  }
+}
+
 Fault SessionTable::request(StreamId id, const std::string& node, const std::string& zone,
                             const Request& request, Nanos now) {
   Stream& stream = streams_.at(id);
-  if (stream.id.empty() && !node.empty()) {
-    stream.id = node.substr(0, kLongestId);
-    stream.zone = zone.substr(0, kLongestId);
-    bool twice = std::any_of(streams_.begin(), streams_.end(), [&](const auto& other) {
-      return other.first != id && other.second.id == stream.id;
-    });
-    if (twice) log_("proxy " + stream.id + " is here twice: each stream is served for itself");
-  }
-  offer_through_gate(stream, now);
+  if (stream.id.empty() && !node.empty()) name(stream, node, zone);
+  stream.asked = true;
+  offer(stream, now);
   std::uint64_t refused = stream.session.nacks();
   Fault fault = stream.session.request(request, now);
   if (stream.session.nacks() > refused) {
@@ -89,7 +123,7 @@
 }
 
 void SessionTable::remember(const std::vector<std::string>& ids, Nanos now) {
-  for (const std::string& id : ids) gone_.push_back({id, 0, now, last_});
+  for (const std::string& id : ids) add_gone({id, 0, now, last_});
 }
 
 std::vector<std::string> SessionTable::known() const {
@@ -109,17 +143,19 @@
     std::uint64_t applied = stream.session.applied();
     if (applied > 0 && !std::exchange(stream.counted, stream.counted || applied > 0)) {
       // It is one of those that were gone: what it had before, it has no more.
-      auto same = std::find_if(gone_.begin(), gone_.end(),
-                               [&](const Gone& one) { return one.id == stream.id && id > one.last; });
-      if (same != gone_.end()) gone_.erase(same);
+      auto same = find_gone(stream.id, id);
+      if (same != gone_.end()) erase_gone(same);
     }
     least = std::min(least, applied);
   }
-  std::erase_if(gone_, [&](const Gone& one) {
-    bool forgotten = now - one.since >= forget_after;
-    if (forgotten) log_("proxy " + one.id + " has been gone for so long that it is forgotten");
-    return forgotten;
-  });
+  for (auto one = gone_.begin(); one != gone_.end();) {
+    if (now - one->since < forget_after) {
+      ++one;
+      continue;
+    }
+    log_("proxy " + one->id + " has been gone for so long that it is forgotten");
+    one = erase_gone(one);
+  }
   for (const Gone& one : gone_) least = std::min(least, one.applied);
   return least;
 }
--- a/src/xds/session_table.h
+++ b/src/xds/session_table.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 #include "xds/session.h"
 
@@ -65,6 +67,7 @@
     std::string id;
     std::string zone;
     std::string peer;
+    bool asked = false;    // it has said who it is, as far as it does: before that its subsets are not known
     bool counted = false;  // it has applied something since it came
     enum class Offered { kNothing, kClosed, kWhole } offered = Offered::kNothing;  // closed: no open shard
   };
@@ -75,10 +78,21 @@
     StreamId last = 0;  // a stream that came later may be this proxy again
   };
 
+  // In the order in which they went.
+  using GoneList = std::list<Gone>;
+
+  void offer(Stream& stream, Nanos now);
   void offer_through_gate(Stream& stream, Nanos now);
+  void name(Stream& stream, const std::string& id, const std::string& zone);
+  void add_gone(Gone gone);
+  GoneList::iterator erase_gone(GoneList::iterator one);
+  // The first of this id that the stream may be again; gone_.end() where there is none.
+  GoneList::iterator find_gone(const std::string& id, StreamId stream);
 
   std::map<StreamId, Stream> streams_;
-  std::vector<Gone> gone_;
+  std::unordered_map<std::string, std::size_t> streams_of_;  // how many have this id
+  GoneList gone_;
+  std::multimap<std::string, GoneList::iterator> gone_by_id_;
   std::optional<Gate> gate_;
   std::shared_ptr<const ResourceSet> set_;
   StreamId last_ = 0;
--- a/standin/ads_client.h
+++ b/standin/ads_client.h
@@ -46,11 +46,15 @@
 
 class AdsClient {
  public:
-  AdsClient(bool delta, std::string id, std::string zone, std::shared_ptr<BodyCache> bodies = nullptr)
+  // `services`: listeners that it asks for by name, and then only for what they refer to; none: all there
+  // are.
+  AdsClient(bool delta, std::string id, std::string zone, std::shared_ptr<BodyCache> bodies = nullptr,
+            std::vector<std::string> services = {})
       : delta_(delta),
         id_(std::move(id)),
         zone_(std::move(zone)),
-        bodies_(bodies ? std::move(bodies) : std::make_shared<BodyCache>()) {}
+        bodies_(bodies ? std::move(bodies) : std::make_shared<BodyCache>()),
+        services_(std::move(services)) {}
 
   // A new stream: the requests that open it. What was applied stays.
   std::vector<std::string> connected();
@@ -82,6 +86,8 @@
   std::optional<std::string> take(const std::string& type, Kind& kind, std::map<std::string, Held> resources,
                                   const std::vector<std::string>& removed, bool whole);
   void follow(std::vector<std::string>& out, const std::string& type, std::set<std::string> names);
+  std::set<std::string> referred_by(const std::string& type) const;
+  std::shared_ptr<const AppliedSet::Routes> held_routes();
   void apply();
   void half_applied(std::string what) { ++half_applied_, half_applied_last_ = std::move(what); }
 
@@ -89,6 +95,7 @@
   std::string id_;
   std::string zone_;
   std::shared_ptr<BodyCache> bodies_;
+  std::vector<std::string> services_;
   std::map<std::string, Kind> kinds_;
   std::optional<std::string> refuses_;
   std::shared_ptr<const AppliedSet> applied_;
--- a/standin/ads_link.cpp
+++ b/standin/ads_link.cpp
@@ -85,11 +85,11 @@
 };
 
 AdsLink::AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied,
-                 std::shared_ptr<BodyCache> bodies)
+                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> services)
     : method_(std::string("/envoy.service.discovery.v3.AggregatedDiscoveryService/") +
               (delta ? "DeltaAggregatedResources" : "StreamAggregatedResources")),
       told_(std::move(applied)),
-      client_(delta, id, "a", std::move(bodies)) {
+      client_(delta, id, "a", std::move(bodies), std::move(services)) {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // a connection of its own
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
--- a/standin/ads_link.h
+++ b/standin/ads_link.h
@@ -21,7 +21,7 @@
   // Told after each change of what is applied, from a thread of gRPC's.
   using Applied = std::function<void(const AppliedSet&)>;
   AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied = {},
-          std::shared_ptr<BodyCache> bodies = nullptr);
+          std::shared_ptr<BodyCache> bodies = nullptr, std::vector<std::string> services = {});
   ~AdsLink();
 
   std::shared_ptr<const AppliedSet> applied() const;
--- /dev/null
+++ b/tests/xds_subsets_test.cpp
@@ -0,0 +1,455 @@
+// Sets of resources made from what changed, and what callers are told of services with subsets.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <tuple>
+
+#include "routing/subsets.h"
+#include "xds/subset_resources.h"
+#include "xds_wires.h"
+
+namespace myrtlecroft::xds {
+namespace {
+
+using routing::Health;
+
+fleet::ServerList placed_on(fleet::ServerList::Places places) {
+  return {std::make_shared<const fleet::ServerList::Places>(std::move(places))};
+}
+
+// "read" and "set" have subsets of ten of all servers, "near" runs on six, "write" has owners.
+routing::Snapshot subsetted(int nodes = 60) {
+  routing::Snapshot out = picture(nodes);
+  for (std::size_t i = 0; i < out.nodes.size(); ++i) out.nodes[i].zone = i % 2 ? "a" : "b";
+  out.service_listeners = true;
+  out.groups[0].subset_size = 10;
+  out.groups[2].subset_size = 10;
+  out.groups.push_back(
+      {.name = "near", .path = "/near", .timeout = kSecond, .servers = placed_on({0, 1, 2, 3, 4, 5})});
+  return out;
+}
+
+const SubsetResources& subsets_of(const ResourceSet& set, const std::string& cluster) {
+  return *set.of(Type::kEndpoints).at(cluster)->subsets;
+}
+
+std::set<std::string> servers_of(const Wires::Link& link, const std::string& cluster) {
+  std::set<std::string> out;
+  for (const auto& place : link.client.applied()->endpoints.at(cluster)->endpoints()) {
+    out.insert(place.locality().sub_zone());
+  }
+  return out;
+}
+
+// ---- A set made from what changed is the one made from nothing
+
+void expect_equal(const Resource& one, const Resource& other) {
+  RC_ASSERT(one.version == other.version);
+  RC_ASSERT(one.plain == other.plain);
+  RC_ASSERT(one.wrapped == other.wrapped);
+  RC_ASSERT(one.refers == other.refers);
+  RC_ASSERT(!one.subsets == !other.subsets);
+  if (!one.subsets) return;
+  RC_ASSERT(one.subsets->count() == other.subsets->count());
+  for (std::size_t at = 0; at < one.subsets->count(); ++at)
+    expect_equal(*one.subsets->at(at), *other.subsets->at(at));
+}
+
+void expect_equal(const ResourceSet& made, const ResourceSet& anew) {
+  RC_ASSERT(made.versions == anew.versions);
+  for (Type type : kAllTypes) {
+    RC_ASSERT(made.of(type).size() == anew.of(type).size());
+    for (const auto& [name, resource] : made.of(type)) expect_equal(*resource, *anew.of(type).at(name));
+  }
+}
+
+// What it says of itself against the set before, by versions alone.
+void expect_told(const ResourceSet& before, const ResourceSet& made) {
+  for (Type type : kAllTypes) {
+    std::vector<std::string> expected;
+    for (const auto& [name, resource] : made.of(type)) {
+      auto had = before.of(type).find(name);
+      if (had == before.of(type).end() || had->second->version != resource->version) expected.push_back(name);
+    }
+    std::vector<std::string> told;
+    for (const ResourcePtr& one : made.changed[static_cast<std::size_t>(type)]) told.push_back(one->name);
+    RC_ASSERT(told == expected);
+    bool fewer = std::any_of(before.of(type).begin(), before.of(type).end(),
+                             [&](const auto& one) { return !made.of(type).contains(one.first); });
+    RC_ASSERT(made.fewer[static_cast<std::size_t>(type)] == fewer);
+  }
+}
+
+struct Change {
+  int what = 0;
+  std::size_t where = 0;
+  std::uint32_t value = 0;
+};
+
+void change_node(routing::Snapshot& snapshot, const Change& change) {
+  routing::NodeRoute& node = snapshot.nodes[change.where % snapshot.nodes.size()];
+  switch (change.what) {
+    case 0:
+      node.weight = 1 + change.value;
+      break;
+    case 1:
+      node.health = static_cast<Health>(change.value % 3);
+      break;
+    case 2:
+      node.in_flight = change.value;
+      break;
+    case 3:
+      node.priority = static_cast<int>(change.value % 2);
+      break;
+    default:
+      node.port = static_cast<std::uint16_t>(1 + change.value);
+  }
+}
+
+void change_group(routing::Snapshot& snapshot, const Change& change) {
+  routing::GroupRoute& group = snapshot.groups[change.where % snapshot.groups.size()];
+  bool owners = group.effect == Effect::kDeduplicated;
+  switch (change.what) {
+    case 5:
+      group.admitted = 100 * (change.value % 101);
+      break;
+    case 6:
+      if (!owners) group.subset_size = change.value % 12;
+      break;
+    case 7:
+      if (!owners) group.servers = change.value % 2 ? placed_on({1, 2, 5, 7, 8}) : fleet::ServerList{};
+      break;
+    case 8:
+      group.stay_away = change.value * kMs;
+      break;
+    default:
+      group.key_header = owners || change.value % 2 ? "Some-Key" : "";
+  }
+}
+
+void change_rest(routing::Snapshot& snapshot, const Change& change) {
+  switch (change.what) {
+    case 10:  // a server comes
+      snapshot.nodes.push_back(snapshot.nodes.front());
+      snapshot.nodes.back().name = "more" + std::to_string(snapshot.nodes.size() + change.where);
+      break;
+    case 11:  // or goes
+      if (snapshot.nodes.size() <= 12) break;
+      snapshot.nodes.erase(snapshot.nodes.begin() +
+                           static_cast<std::ptrdiff_t>(change.where % snapshot.nodes.size()));
+      for (int& owner : snapshot.shards) owner = std::min(owner, static_cast<int>(snapshot.nodes.size()) - 1);
+      break;
+    case 12:
+      snapshot.shards[change.where % snapshot.shards.size()] =
+          static_cast<int>(change.value % snapshot.nodes.size()) - 1;
+      break;
+    case 13:
+      snapshot.service_listeners = change.value % 2;
+      break;
+    case 14:
+      snapshot.retry_budget = change.value / 1000.0;
+      break;
+    case 15:
+      std::swap(snapshot.groups.front(), snapshot.groups.back());
+      break;
+    default:
+      snapshot.customers.assign(1, {"c", change.value});
+  }
+}
+
+void make_change(routing::Snapshot& snapshot, const Change& change) {
+  if (change.what < 5) return change_node(snapshot, change);
+  if (change.what < 10) return change_group(snapshot, change);
+  change_rest(snapshot, change);
+}
+
+// A caller of each key asks for what it is told, so that something is serialised that can be taken over.
+void ask_all(const ResourceSet& set, std::uint64_t key) {
+  for (const auto& [name, resource] : set.of(Type::kEndpoints)) resolved(resource, Caller{key});
+}
+
+RC_GTEST_PROP(ResourceSets, OneMadeFromWhatChangedIsTheOneMadeFromNothing, ()) {
+  auto changes = *rc::gen::container<std::vector<std::tuple<int, std::size_t, std::uint32_t>>>(
+      rc::gen::tuple(rc::gen::inRange(0, 17), rc::gen::inRange<std::size_t>(0, 1000),
+                     rc::gen::inRange<std::uint32_t>(0, 1000)));
+  routing::Snapshot snapshot = subsetted(24);
+  std::uint64_t number = 1;
+  auto before = make_resources({number, snapshot}, nullptr);
+  for (auto [what, where, value] : changes) {
+    ask_all(*before, value);
+    make_change(snapshot, {what, where, value});
+    auto made = make_resources({++number, snapshot}, before.get());
+    auto anew = make_resources({number, snapshot}, nullptr);
+    ask_all(*made, value + 1);
+    expect_equal(*made, *anew);
+    expect_told(*before, *made);
+    RC_ASSERT(fault_of(*made, before.get()) == fault_of(*anew));
+    before = made;
+  }
+}
+
+TEST(ResourceSets, WhatAChangeDoesNotTouchIsTakenOverAsItIs) {
+  routing::Snapshot snapshot = subsetted();
+  auto before = make_resources({1, snapshot}, nullptr);
+  for (std::uint64_t key = 0; key < 2000; ++key) ask_all(*before, key);
+  snapshot.nodes[7].weight = 50;
+  auto made = make_resources({2, snapshot}, before.get());
+  for (Type type : {Type::kClusters, Type::kListeners, Type::kRoutes, Type::kRuntime}) {
+    EXPECT_EQ(made->of(type), before->of(type)) << name_of(type);
+  }
+  EXPECT_EQ(made->of(Type::kEndpoints).at("group/near"), before->of(Type::kEndpoints).at("group/near"));
+  const SubsetResources& subsets = subsets_of(*made, "group/read");
+  EXPECT_EQ(subsets.count() - subsets.made(), routing::kSubsetRounds)
+      << "one subset of each round has the server";
+}
+
+// A fleet file that asks for none of it: bytes as they were before there were subsets.
+TEST(ResourceSets, WithoutSubsettingVersionsAreThoseOfBefore) {
+  auto set = make_resources({1, picture()}, nullptr);
+  EXPECT_EQ(set->versions,
+            (std::array<std::string, kTypes>{"2d7040f943b8a81a", "d4b3923e3e27638d", "596e4a02106a68b6",
+                                             "3fd77041a21e5087", "0aa377e7b26c29af"}));
+}
+
+TEST(ResourceSets, AServiceThatIsDownHoldsUpNoOther) {
+  routing::Snapshot snapshot = subsetted();
+  for (std::size_t i = 0; i < 6; ++i) snapshot.nodes[i].health = Health::kOut, snapshot.nodes[i].weight = 0;
+  auto set = make_resources({1, snapshot}, nullptr);
+  EXPECT_EQ(fault_of(*set), "");
+  Wires wires;
+  Wires::Link link(false, "p1");
+  wires.publish(snapshot);
+  wires.connect(link);
+  wires.settle(link);
+  EXPECT_EQ(servers_of(link, "group/near").size(), 6u)
+      << "its servers as they are: what is sent there is refused there";
+  EXPECT_FALSE(servers_of(link, "group/read").contains("n1"));
+}
+
+TEST(ResourceSets, OneSubsetWithoutEndpointsMakesTheSetUnfit) {
+  routing::Snapshot snapshot = subsetted();
+  for (auto& node : snapshot.nodes) node.health = Health::kOut;
+  EXPECT_NE(fault_of(*make_resources({1, snapshot}, nullptr)), "");
+}
+
+// ---- What callers are told
+
+class CallersOfSubsets : public testing::TestWithParam<std::tuple<bool, bool>> {
+ protected:
+  Wires::Link link(const std::string& id) const {
+    auto [delta, by_name] = GetParam();
+    return {delta, id, by_name ? std::vector<std::string>{"read", "set"} : std::vector<std::string>{}};
+  }
+};
+INSTANTIATE_TEST_SUITE_P(Xds, CallersOfSubsets, testing::Combine(testing::Bool(), testing::Bool()),
+                         [](const auto& one) {
+                           return std::string(std::get<0>(one.param) ? "Delta" : "StateOfTheWorld") +
+                                  (std::get<1>(one.param) ? "ByName" : "All");
+                         });
+
+// A server that none of the caller's services has in its subset.
+std::size_t outside(const routing::Snapshot& snapshot, const Wires::Link& link) {
+  std::set<std::string> told;
+  for (const auto& [name, endpoints] : link.client.applied()->endpoints) {
+    if (!name.starts_with("group/")) continue;
+    for (const std::string& server : servers_of(link, name)) told.insert(server);
+  }
+  for (std::size_t at = 0; at < snapshot.nodes.size(); ++at) {
+    if (!told.contains(snapshot.nodes[at].name)) return at;
+  }
+  throw std::runtime_error("it is told of all");
+}
+
+TEST_P(CallersOfSubsets, AChangeOutsideASubsetSendsItsCallerNothingAndCountsAsApplied) {
+  Wires wires;
+  Wires::Link caller = link("p1");
+  routing::Snapshot snapshot = subsetted();
+  wires.publish(snapshot);
+  wires.connect(caller);
+  wires.settle(caller);
+  ASSERT_TRUE(caller.client.applied());
+  EXPECT_GE(servers_of(caller, "group/read").size(), 5u);
+  EXPECT_LE(servers_of(caller, "group/read").size(), 14u);
+  int answers = wires.answers;
+  std::size_t other = outside(snapshot, caller);
+  snapshot.nodes[other].weight = 40;
+  wires.publish(snapshot);
+  wires.settle(caller);
+  EXPECT_EQ(wires.answers, answers);
+  EXPECT_EQ(wires.table.applied_by_all(kSecond, wires.now), 2u);
+  const std::string own = *servers_of(caller, "group/read").begin();
+  for (auto& node : snapshot.nodes) {
+    if (node.name == own) node.weight = 33;
+  }
+  wires.publish(snapshot);
+  EXPECT_EQ(wires.table.applied_by_all(kSecond, wires.now), 2u) << "it has not been told yet";
+  wires.settle(caller);
+  EXPECT_GT(wires.answers, answers);
+  EXPECT_EQ(wires.table.applied_by_all(kSecond, wires.now), 3u);
+}
+
+TEST_P(CallersOfSubsets, AtAnotherInstanceACallerHasTheSameSubsets) {
+  Wires first;
+  Wires::Link caller = link("p1");
+  first.publish(subsetted());
+  first.connect(caller);
+  first.settle(caller);
+  auto before = servers_of(caller, "group/read");
+  Wires second;
+  second.publish(picture());
+  second.publish(subsetted());
+  second.connect(caller);
+  second.settle(caller);
+  EXPECT_EQ(servers_of(caller, "group/read"), before);
+  EXPECT_EQ(caller.client.half_applied(), 0);
+  EXPECT_EQ(second.table.applied_by_all(kSecond, second.now), 2u);
+  if (std::get<0>(GetParam())) {
+    EXPECT_EQ(second.answers, 0) << "it has all of it, in these versions";
+  }
+}
+
+TEST_P(CallersOfSubsets, NothingIsEverHalfApplied) {
+  std::mt19937 random(11);
+  Wires wires;
+  std::vector<std::unique_ptr<Wires::Link>> links;
+  for (int i = 0; i < 3; ++i) links.push_back(std::make_unique<Wires::Link>(link("p" + std::to_string(i))));
+  auto drawn = [&] {
+    routing::Snapshot snapshot = subsetted(20 + static_cast<int>(random() % 30));
+    for (auto& node : snapshot.nodes) node.health = random() % 4 ? Health::kHealthy : Health::kOut;
+    snapshot.nodes[0].health = Health::kHealthy;
+    if (random() % 4 == 0) snapshot.groups[2].subset_size = 0;
+    return snapshot;
+  };
+  wires.publish(drawn());
+  for (int step = 0; step < 8'000; ++step) {
+    Wires::Link& one = *links[random() % links.size()];
+    wires.now += kMs * 10;
+    switch (random() % 10) {
+      case 0:
+        if (step % 5 == 0) wires.publish(drawn());
+        break;
+      case 1:
+        if (random() % 20 == 0 && one.stream) wires.cut(one);
+        if (!one.stream) wires.connect(one);
+        break;
+      case 2:
+      case 3:
+      case 4:
+        wires.move_up(one);
+        break;
+      case 5:
+      case 6:
+        wires.write(one);
+        break;
+      default:
+        wires.move_down(one);
+    }
+    ASSERT_EQ(one.client.half_applied(), 0) << "at step " << step << ": " << one.client.half_applied_last();
+  }
+  wires.publish(subsetted());
+  for (auto& one : links) {
+    if (!one->stream) wires.connect(*one);
+    wires.settle(*one);
+    EXPECT_EQ(one->client.half_applied(), 0);
+    Wires fresh;
+    fresh.publish(subsetted());
+    Wires::Link anew = link("p" + std::to_string(&one - links.data()));
+    fresh.connect(anew);
+    fresh.settle(anew);
+    EXPECT_EQ(servers_of(*one, "group/read"), servers_of(anew, "group/read"));
+  }
+  EXPECT_EQ(wires.table.applied_by_all(kSecond, wires.now), wires.number);
+}
+
+TEST(CallersByName, GetOnlyWhatTheyAskFor) {
+  Wires wires;
+  Wires::Link near(true, "p1", {"near"});
+  Wires::Link write(false, "p2", {"write"});
+  Wires::Link all(true, "p3");
+  wires.publish(subsetted());
+  for (Wires::Link* one : {&near, &write, &all}) {
+    wires.connect(*one);
+    wires.settle(*one);
+    ASSERT_TRUE(one->client.applied());
+  }
+  EXPECT_EQ(near.client.applied()->clusters.size(), 1u);
+  EXPECT_EQ(servers_of(near, "group/near").size(), 6u);
+  EXPECT_EQ(write.client.applied()->clusters.size(), 16u) << "the owners of its shards";
+  EXPECT_EQ(write.client.applied()->routes->virtual_hosts(0).routes_size(), 17);
+  EXPECT_EQ(all.client.applied()->clusters.size(), 19u);
+  EXPECT_LT(near.client.bytes_in(), all.client.bytes_in() / 10);
+}
+
+TEST(CallersByName, HaveNoListenerWithoutSubsetting) {
+  Wires wires;
+  Wires::Link caller(false, "p1", {"read"});
+  wires.publish(picture());
+  wires.connect(caller);
+  wires.settle(caller);
+  EXPECT_FALSE(caller.client.applied());
+}
+
+TEST(CallersOfOneSubset, ShareWhatIsSerialised) {
+  auto set = make_resources({1, subsetted()}, nullptr);
+  std::map<const Resource*, int> told;
+  constexpr int kCallers = 500;
+  for (int i = 0; i < kCallers; ++i) {
+    Session session(i % 2 ? Form::kDelta : Form::kStateOfTheWorld);
+    session.set_caller({routing::caller_key("caller-" + std::to_string(i), "a")});
+    session.offer(set);
+    Request request{.type = Type::kEndpoints};
+    (i % 2 ? request.subscribe : request.names) = {"group/read"};
+    session.request(request, 0);
+    auto response = session.next();
+    ASSERT_TRUE(response);
+    ASSERT_EQ(response->resources.size(), 1u);
+    ++told[response->resources[0].get()];
+  }
+  const SubsetResources& subsets = subsets_of(*set, "group/read");
+  EXPECT_EQ(told.size(), subsets.made()) << "each once, however many callers have it";
+  EXPECT_LE(told.size(), 6 * routing::kSubsetRounds);
+  EXPECT_EQ(subsets_of(*set, "group/set").made(), 0u) << "nobody asked for those";
+}
+
+TEST(SessionTable, ACallerThatComesAndGoesBetweenTwoLooksIsGoneOnce) {
+  Wires wires;
+  Wires::Link caller(true, "p1");
+  wires.publish(picture());
+  for (int i = 0; i < 3; ++i) {
+    wires.connect(caller);
+    wires.settle(caller);
+    wires.publish(picture(4 + i));
+    wires.settle(caller);
+    wires.cut(caller);
+  }
+  EXPECT_EQ(wires.table.gone(), 1u);
+  wires.connect(caller);
+  wires.settle(caller);
+  EXPECT_EQ(wires.table.applied_by_all(60 * kSecond, wires.now), wires.number);
+}
+
+// With a look through all who are there or gone for each that comes and goes, this takes minutes.
+TEST(SessionTable, AllCallersThatReconnectAtOnceAreFoundById) {
+  SessionTable table([](const std::string&) {});
+  table.publish(make_resources({1, picture()}, nullptr));
+  constexpr int kCallers = 40'000;
+  Request request{.type = Type::kRoutes, .names = {"fleet"}};
+  auto begun = std::chrono::steady_clock::now();
+  for (int round = 0; round < 2; ++round) {
+    std::vector<StreamId> streams;
+    for (int i = 0; i < kCallers; ++i) {
+      streams.push_back(table.open(Form::kStateOfTheWorld, "peer"));
+      table.request(streams.back(), "caller-" + std::to_string(i), "a", request, kSecond);
+    }
+    EXPECT_EQ(table.applied_by_all(kSecond, kSecond), 0u);
+    for (StreamId stream : streams) table.close(stream, kSecond);
+  }
+  EXPECT_EQ(table.gone(), static_cast<std::size_t>(kCallers)) << "each once, though it came twice";
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(10));
+}
+
+}  // namespace
+}  // namespace myrtlecroft::xds
