--- a/measure/capacity/real_callers.cpp
+++ b/measure/capacity/real_callers.cpp
@@ -68,15 +68,13 @@
   for (const auto& link : links_) {
     auto set = link->applied();
     if (!set) continue;
-    for (const auto& routes : set->all_routes) {
-      if (!seen.insert(routes.get()).second) continue;
-      for (const auto& host : routes->virtual_hosts()) {
-        for (const auto& route : host.routes()) {
-          const std::string& cluster = route.route().cluster();
-          if (route.match().headers_size() == 0 || !cluster.starts_with(kServerClusters)) continue;
-          words.emplace(route.name().substr(0, route.name().find('/')),
-                        route.match().headers(0).safe_regex_match().regex(), cluster);
-        }
+    if (!seen.insert(set->routes.get()).second) continue;
+    for (const auto& host : set->routes->virtual_hosts()) {
+      for (const auto& route : host.routes()) {
+        const std::string& cluster = route.route().cluster();
+        if (route.match().headers_size() == 0 || !cluster.starts_with(kServerClusters)) continue;
+        words.emplace(route.name().substr(0, route.name().find('/')),
+                      route.match().headers(0).safe_regex_match().regex(), cluster);
       }
     }
   }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -157,6 +157,7 @@
   out.expected_proxies = fleet_.proxies;
   out.closed_for = fleet_.longest_window();
   out.nodes.reserve(members_.all().size());
+  out.service_listeners = fleet_.service_listeners;
   for (const Member& member : members_.all()) {
     out.nodes.push_back(route_to(member, before.find(member.node.name, out.nodes.size())));
   }
@@ -170,6 +171,8 @@
                      .repeats = repeat_rule(group, fleet_.bounds)};
     if (i < admission_.admitted().size()) route.admitted = admission_.admitted()[i];
     route.stay_away = static_cast<Nanos>(kAdviceShare * static_cast<double>(group.slo_time));
+    route.servers = group.servers;  // members stand in the order of the file
+    route.subset_size = group.subset_size;
     out.groups.push_back(std::move(route));
   }
   for (const fleet::Customer& customer : fleet_.customers) {
