Make builds the version before capacity work with the same harness

Cause: slopes before and after must come from one harness and two versions. Change: build/before-capacity, as build/before-slow, from the commit that has the harness and nothing else new; lint sees the new headers.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Short names for what README describes.
 CONFIG ?= deploy/example.json
-SOURCES := $(shell git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' 'measure/*.cpp')
+SOURCES := $(shell git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' 'measure/*.cpp' 'measure/capacity/*.h')
 
 .PHONY: setup build node test sanitize demo lint format run
 
@@ -61,6 +61,14 @@
 	cmake --build build/measure -j4 --target measure_slow
 	build/measure/measure_slow build/before-slow/build/myrtlecroft $(PEERS) $(DESCRIPTORS)
 
+# The version before costs were made to follow what changes, with the same harness.
+BEFORE_CAPACITY := ce12e0558e44e2be5fd49cf99cab50106b13b186
+build/before-capacity/build/measure_capacity_slopes:
+	mkdir -p build/before-capacity
+	git archive $(BEFORE_CAPACITY) | tar -x -C build/before-capacity
+	cmake -S build/before-capacity -B build/before-capacity/build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build/before-capacity/build -j4 --target measure_capacity_slopes
+
 # Long measurements: each prints its figures on the last line.
 measure-%: setup
 	cmake -B build/measure -DCMAKE_BUILD_TYPE=Release
