--- a/measure/capacity/real_callers.cpp
+++ b/measure/capacity/real_callers.cpp
@@ -23,16 +23,16 @@
 // With subsets a caller asks for the services that it uses, by name; without, for all there is. Half of the
 // callers speak either form of the protocol.
 void HollowCallers::add_one(int number) {
-  std::vector<std::string> listeners;
+  std::vector<std::string> services;
   if (plan_.subsetting()) {
-    for (int service : choices_.services_of(number)) listeners.push_back(name_of_service(service));
+    for (int service : choices_.services_of(number)) services.push_back(name_of_service(service));
   }
   bool delta = number % 2 == 0;
   auto applied = [this, number](const standin::AppliedSet& set) {
     watch_.applied(static_cast<std::uint32_t>(number), set, steady_ns());
   };
   links_.push_back(std::make_unique<standin::AdsLink>(target_, delta, name_of_caller(number), applied, bodies_,
-                                                      std::move(listeners)));
+                                                      std::move(services)));
 }
 
 void HollowCallers::expect(const hollow::Command::Expect& command) {
@@ -63,20 +63,17 @@
 
 // Which server runs which keys, by the routes that callers have: each word once.
 void HollowCallers::list_owners(hollow::Answer& answer) const {
-  std::set<const standin::AppliedSet::Routes*> seen;
   std::set<std::tuple<std::string, std::string, std::string>> words;
+  std::set<std::shared_ptr<const standin::AppliedSet::Routes>> seen;  // many callers have the same
   for (const auto& link : links_) {
     auto set = link->applied();
-    if (!set) continue;
-    for (const auto& routes : set->all_routes) {
-      if (!seen.insert(routes.get()).second) continue;
-      for (const auto& host : routes->virtual_hosts()) {
-        for (const auto& route : host.routes()) {
-          const std::string& cluster = route.route().cluster();
-          if (route.match().headers_size() == 0 || !cluster.starts_with(kServerClusters)) continue;
-          words.emplace(route.name().substr(0, route.name().find('/')),
-                        route.match().headers(0).safe_regex_match().regex(), cluster);
-        }
+    if (!set || !seen.insert(set->routes).second) continue;
+    for (const auto& host : set->routes->virtual_hosts()) {
+      for (const auto& route : host.routes()) {
+        const std::string& cluster = route.route().cluster();
+        if (route.match().headers_size() == 0 || !cluster.starts_with(kServerClusters)) continue;
+        words.emplace(route.name().substr(0, route.name().find('/')),
+                      route.match().headers(0).safe_regex_match().regex(), cluster);
       }
     }
   }
--- a/standin/ads_link.cpp
+++ b/standin/ads_link.cpp
@@ -98,12 +98,12 @@
 };
 
 AdsLink::AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied,
-                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> listeners)
+                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> services)
     : target_(target),
       method_(std::string("/envoy.service.discovery.v3.AggregatedDiscoveryService/") +
               (delta ? "DeltaAggregatedResources" : "StreamAggregatedResources")),
       told_(std::move(applied)),
-      client_(delta, id, "a", std::move(bodies), std::move(listeners)) {
+      client_(delta, id, "a", std::move(bodies), std::move(services)) {
   connect();
   open();
 }
