A reload reads its files beside the loop, which goes on answering

Cause: on SIGHUP the loop itself read the file.

Change: Reload reads both files on a thread of its own and tells the loop by a wake. A signal during a reading is followed by another reading. Bad files, the lines in the log and what is taken over are as before; what is fixed for the life of a server is freed on the thread. A server that ends waits for a reading under way.

--- a/measure/capacity/server_sizes.cpp
+++ b/measure/capacity/server_sizes.cpp
@@ -28,7 +28,8 @@
   std::vector<double> reload_ms;
   std::vector<double> stands_ms;
   std::vector<double> stands_without_ms;
-  std::vector<double> peak_mb;  // after the reload
+  std::vector<double> after_mb;  // resident after the reload
+  std::vector<double> peak_mb;   // largest until then
   int offered = 0;
   int completed = 0;
 };
@@ -63,6 +64,7 @@
   samples.reload_ms.push_back(ms(result.took));
   samples.stands_ms.push_back(ms(result.stands));
   samples.stands_without_ms.push_back(ms(result.stands_without));
+  samples.after_mb.push_back(server.rss_mb());
   samples.peak_mb.push_back(server.peak_rss_mb());
 }
 
@@ -89,6 +91,7 @@
   sheet.add({"server_reload", "tenants", "ms"}, size, samples.reload_ms);
   sheet.add({"server_loop_stands", "tenants", "ms"}, size, samples.stands_ms);
   sheet.add({"server_largest_gap_without_reload", "tenants", "ms"}, size, samples.stands_without_ms);
+  sheet.add({"server_rss_after_reload", "tenants", "MB"}, size, samples.after_mb);
   sheet.add({"server_rss_peak", "tenants", "MB"}, size, samples.peak_mb);
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,6 +23,7 @@
 #include "net/membership.h"
 #include "net/reporter.h"
 #include "recovery/durable_runs.h"
+#include "reload.h"
 #include "settings/node_settings.h"
 
 namespace {
@@ -133,23 +134,23 @@
   net::Timer interrupted(loop.base(), SIGINT, leave);
   // New addresses are taken over under load. What is fixed for the life of a server is left as it is, and a
   // file that makes no sense changes nothing.
-  net::Timer reload(loop.base(), SIGHUP, [&] {
+  Reload reload(loop, path, settings_path, [&](ReadAgain read) {
     try {
-      Launch read = read_launch(path);
-      settings::NodeSettings own_read = settings::read_node_settings(settings_path);
-      own_read.reports.obey = own_settings.reports.obey;  // for the life of a server
-      reporter.report_to(own_read.reports);
-      front.pacing().set_terms(own_read.slow_peers);
-      engine.move(read.engine);
-      database.move(read.database);
-      membership.move(read.members);
-      std::string fixed = fixed_differences(launch, read);
+      if (!read.error.empty()) throw std::runtime_error(read.error);
+      read.own.reports.obey = own_settings.reports.obey;  // for the life of a server
+      reporter.report_to(read.own.reports);
+      front.pacing().set_terms(read.own.slow_peers);
+      engine.move(read.launch.engine);
+      database.move(read.launch.database);
+      membership.move(read.launch.members);
+      std::string fixed = fixed_differences(launch, read.launch);
       log.line("reload: addresses taken over" +
                (fixed.empty() ? "" : "; these differ and wait for a restart: " + fixed));
     } catch (const std::exception& error) {
       log.line(std::string("reload failed, all stays as it was: ") + error.what());
     }
   });
+  net::Timer reload_asked(loop.base(), SIGHUP, [&] { reload.ask(); });
   mask_signals(SIG_UNBLOCK);
   loop.on_wake([&] { service.woke(); });
   front.serve(service, [&] { loop.stop(); });
