--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -97,7 +97,8 @@
     launch.start.terms = read_terms(settings);
     // Where nothing is shared below, there is none to name.
     element named;
-    if (launch.start.terms.has_dependency || find(fields, "db", named)) launch.database = address(fields, "db");
+    if (launch.start.terms.has_dependency || find(fields, "db", named))
+      launch.database = address(fields, "db");
     launch.start.gauge_names = read_gauge_names(settings);
     launch.limits = simdjson::minify(limits);
     launch.settings = simdjson::minify(settings);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t kEngineMemory = 16;  // the same, for commands that the engine does not take
 constexpr std::size_t kLeastEngine = std::size_t{1} << 18;
 constexpr std::size_t kMostEngine = std::size_t{1} << 23;
-constexpr int kWrong = 2;  // exit code: an unknown option, or a file that --check finds wrong
+constexpr int kWrong = 2;        // exit code: an unknown option, or a file that --check finds wrong
 constexpr int kStartMeAs = 100;  // exit code: this and the version that it is to be started in
 constexpr std::size_t kOwnDescriptors = 4;  // one of so many is kept for what is not a balancer's connection
 
@@ -89,7 +89,8 @@
   auto heed = [&](const agreement::Order& order) {
     // Not taken at all: it is told again in answer to the next report.
     if (order.restart_as && !reporter.is_fresh(order.answers)) {
-      log.frequent("an order to start anew came late, and is not heeded: epoch " + std::to_string(order.epoch.number));
+      log.frequent("an order to start anew came late, and is not heeded: epoch " +
+                   std::to_string(order.epoch.number));
       return;
     }
     agreement::Fence::Verdict verdict = gate.fence.take(order, reporter.life());
--- a/src/net/database.cpp
+++ b/src/net/database.cpp
@@ -74,9 +74,9 @@
     return taken;
   }
 
-  // A connection that never came up carried nothing. One that breaks proves nothing. What one exchange makes of
-  // it may give up the call of another that is here too: that one is not told any more, as its reply would be
-  // taken for that of its next call.
+  // A connection that never came up carried nothing. One that breaks proves nothing. What one exchange makes
+  // of it may give up the call of another that is here too: that one is not told any more, as its reply would
+  // be taken for that of its next call.
   void ended(Connection& connection, Reason) override {
     service::Reply reply = connection.was_open() ? service::Reply::kBroken : service::Reply::kUnreachable;
     auto place = std::find_if(database_.channels_.begin(), database_.channels_.end(),
--- a/src/net/database.h
+++ b/src/net/database.h
@@ -37,7 +37,7 @@
   std::size_t most_connections_;
   service::Service* service_ = nullptr;
   std::vector<std::unique_ptr<Channel>> channels_;
-  Channel* ending_ = nullptr;  // the one that has ended, while its calls are told
+  Channel* ending_ = nullptr;                          // the one that has ended, while its calls are told
   std::vector<service::ServerExchange*> unreachable_;  // to be told from the loop
   Timer tell_;
 };
--- a/src/net/engine_link.cpp
+++ b/src/net/engine_link.cpp
@@ -60,9 +60,9 @@
   heard();
 }
 
-// Guards against a link that stays open and carries nothing any more, which no reset ever ends. After a pause of
-// this process what came meanwhile still waits to be read. Harm: of an engine that stands still for longer, the
-// commands it had not read are in doubt.
+// Guards against a link that stays open and carries nothing any more, which no reset ever ends. After a pause
+// of this process what came meanwhile still waits to be read. Harm: of an engine that stands still for
+// longer, the commands it had not read are in doubt.
 void EngineLink::fell_silent() {
   if (connection_ && connection_->was_open() && connection_->unread()) return heard();
   if (connection_) connection_->end(Reason::kSilent);
--- a/src/net/engine_link.h
+++ b/src/net/engine_link.h
@@ -13,10 +13,10 @@
  public:
   static constexpr Nanos kSilence = 3'000 * kMs;
 
-  // Commands that the engine does not take wait here, `most_unsent` bytes of them; then the link is ended, and
-  // attached again it is told anew what it doesn't know.
-  // A link on which nothing comes for `silence` is given up and made anew: gauges are asked for at every beat,
-  // and before its HELLO a new link costs nothing.
+  // Commands that the engine does not take wait here, `most_unsent` bytes of them; then the link is ended,
+  // and attached again it is told anew what it doesn't know. A link on which nothing comes for `silence` is
+  // given up and made anew: gauges are asked for at every beat, and before its HELLO a new link costs
+  // nothing.
   EngineLink(Loop& loop, service::LogPort& log, const sockaddr_in& engine,
              std::size_t most_unsent = Connection::kMostUnsentBelow, Nanos silence = kSilence);
   void begin(service::EngineSession& session);
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -15,9 +15,7 @@
 }  // namespace
 
 Membership::Membership(Loop& loop, std::string name, const sockaddr_in& service)
-    : name_(std::move(name)),
-      service_(service),
-      again_(loop.base(), [this] { send(); }) {}
+    : name_(std::move(name)), service_(service), again_(loop.base(), [this] { send(); }) {}
 
 Membership::~Membership() {
   if (socket_ >= 0) ::close(socket_);
--- a/src/peers/pacing.cpp
+++ b/src/peers/pacing.cpp
@@ -155,16 +155,17 @@
   bool slow_out = slow(account.out_, standing.unread > 0, standing.out);
   bool over = is_slow(account.state_) && at >= account.hurry_until_;
   if (!standing.awaited && !standing.unread) return Input::kClear;
-  if (slow_out) return over && account.state_ == State::kBlocked && !standing.open ? Input::kOver : Input::kSlowOut;
+  if (slow_out)
+    return over && account.state_ == State::kBlocked && !standing.open ? Input::kOver : Input::kSlowOut;
   if (slow_in) return over && account.state_ == State::kHurried ? Input::kOver : Input::kSlowIn;
   if (standing.unread && full(account, standing.unread, at)) return Input::kFull;
   if (awaited && at - account.in_.since >= terms_.whole_within) return Input::kOverdue;
   return Input::kSteady;
 }
 
-// More than its share waits, and what waits won't be gone by the next look. Half the share must be free before
-// a paused peer is read again, or it would be paused at every answer. Harm: answers that end together on one
-// connection look alike for a turn of the loop, which is why a new flow is left alone that long.
+// More than its share waits, and what waits won't be gone by the next look. Half the share must be free
+// before a paused peer is read again, or it would be paused at every answer. Harm: answers that end together
+// on one connection look alike for a turn of the loop, which is why a new flow is left alone that long.
 bool Pacing::full(const Account& account, std::size_t unread, Nanos at) const {
   if (unread < (account.paused() ? terms_.unread_share / 2 : terms_.unread_share)) return false;
   double soon = rate(account.out_, at) * static_cast<double>(kLookEvery) / 1e9;
@@ -220,8 +221,8 @@
 
 // A balancer that has us to itself may use all.
 bool Pacing::over_share(const Account::Balancer& balancer) const {
-  return balancer.peers < peers_ &&
-         static_cast<double>(balancer.held) > terms_.balancer_share * static_cast<double>(limits_.bytes);
+  return balancer.peers<peers_&& static_cast<double>(balancer.held)> terms_.balancer_share *
+         static_cast<double>(limits_.bytes);
 }
 
 bool Pacing::crowded(const Account& account) const {
--- a/src/peers/pacing.h
+++ b/src/peers/pacing.h
@@ -14,13 +14,13 @@
 namespace myrtlecroft::peers {
 
 struct PacingTerms {
-  double least_rate = 500;             // bytes per second, of a request on its way in or answers on their way out
-  Nanos rate_over = 1000 * kMs;        // the span of the sums that the rates are read from
-  Nanos grace = 1000 * kMs;            // before a rate is judged
-  Nanos hurry = 500 * kMs;             // from too slow a rate to the end
-  Nanos whole_within = 5000 * kMs;     // one request, from its first byte to its last, at whatever rate
-  std::size_t unread_share = 65'536;   // bytes of answers; beyond them a peer's next exchanges wait
-  double balancer_share = 0.75;        // of the memory, for all peers of one balancer beside others
+  double least_rate = 500;       // bytes per second, of a request on its way in or answers on their way out
+  Nanos rate_over = 1000 * kMs;  // the span of the sums that the rates are read from
+  Nanos grace = 1000 * kMs;      // before a rate is judged
+  Nanos hurry = 500 * kMs;       // from too slow a rate to the end
+  Nanos whole_within = 5000 * kMs;    // one request, from its first byte to its last, at whatever rate
+  std::size_t unread_share = 65'536;  // bytes of answers; beyond them a peer's next exchanges wait
+  double balancer_share = 0.75;       // of the memory, for all peers of one balancer beside others
 };
 
 // Derived from the limits told at the start.
@@ -112,7 +112,7 @@
   Flow in_;
   Flow out_;
   std::size_t held_ = 0;
-  Nanos look_at_ = 0;      // the next time, while it is watched
+  Nanos look_at_ = 0;  // the next time, while it is watched
   Nanos hurry_until_ = 0;
   std::list<Account*>::iterator place_;
   std::list<Account*>::iterator slow_place_;
@@ -128,8 +128,8 @@
   void join(Account& account, PacedPeer& peer, BalancerKey key);
   void leave(Account& account);
   void belongs_to(Account& account, BalancerKey key);
-  // Its connection has moved on: it is watched from here on where something waits, and judged at once where its
-  // unread answers may be beyond their share.
+  // Its connection has moved on: it is watched from here on where something waits, and judged at once where
+  // its unread answers may be beyond their share.
   void moved(Account& account, Nanos now);
   // Says how many bytes of memory it holds now.
   void hold(Account& account, std::size_t bytes);
--- a/src/recovery/durable_runs_none.cpp
+++ b/src/recovery/durable_runs_none.cpp
@@ -3,7 +3,8 @@
 
 namespace myrtlecroft::recovery {
 
-std::unique_ptr<DurableRuns> open_durable_runs(const settings::StoreSettings&, net::Loop&, service::LogPort&) {
+std::unique_ptr<DurableRuns> open_durable_runs(const settings::StoreSettings&, net::Loop&,
+                                               service::LogPort&) {
   return nullptr;
 }
 
--- a/src/recovery/run_records.cpp
+++ b/src/recovery/run_records.cpp
@@ -14,16 +14,16 @@
   Effect effect;
 };
 
-// What is not named here changes nothing and has no effect: a word on a write that no longer matters, or an end
-// told twice.
+// What is not named here changes nothing and has no effect: a word on a write that no longer matters, or an
+// end told twice.
 constexpr Row kTable[] = {
     {State::kUnknown, Input::kWanted, State::kIntending, Effect::kIntend},
     {State::kUnknown, Input::kWantedSick, State::kUnknown, Effect::kDeny},
     {State::kIntending, Input::kWanted, State::kIntending, Effect::kJoin},
     {State::kIntending, Input::kWantedSick, State::kIntending, Effect::kJoin},
     {State::kIntending, Input::kDurable, State::kIntended, Effect::kRun},
-    // The intent may be on the disk after all. In this life it is known not to have run; the next one will take it
-    // for one that may have, which costs its repeats a termination.
+    // The intent may be on the disk after all. In this life it is known not to have run; the next one will
+    // take it for one that may have, which costs its repeats a termination.
     {State::kIntending, Input::kLost, State::kUnknown, Effect::kDeny},
     {State::kIntending, Input::kNeverRan, State::kUnknown, Effect::kTakeBack},
     {State::kIntending, Input::kOver, State::kUnknown, Effect::kForget},
--- a/src/recovery/run_records.h
+++ b/src/recovery/run_records.h
@@ -1,5 +1,5 @@
-// What a durable record says of an exchange that must not run twice, over the crash of its node. Decisions only:
-// the store writes, the service runs and answers.
+// What a durable record says of an exchange that must not run twice, over the crash of its node. Decisions
+// only: the store writes, the service runs and answers.
 #pragma once
 
 #include <cstdint>
@@ -34,7 +34,7 @@
 
 enum class Effect {
   kNone,
-  kIntend,     // write the intent; run when it is durable
+  kIntend,  // write the intent; run when it is durable
   kRun,
   kDeny,       // it has not run, and can't be protected now: come back later
   kJoin,       // wait for the one that runs
@@ -63,8 +63,8 @@
   void forget_result(const std::string& key);
   // What is to be written of a key in its state: its intent, or its outcome.
   std::string record_of(const std::string& key) const;
-  // A record that the start found. False: it makes no sense to this version, and the key is taken for one that may
-  // have run.
+  // A record that the start found. False: it makes no sense to this version, and the key is taken for one
+  // that may have run.
   bool recovered(const std::string& key, std::string_view record, Nanos window);
 
  private:
--- a/src/report/frames.cpp
+++ b/src/report/frames.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint8_t kOrder = 2;
 constexpr int kMostDigits = 3;
 constexpr std::uint8_t kStay = 255;  // of an order: no other version is wanted
-constexpr std::size_t kHeader = 4;  // the length
+constexpr std::size_t kHeader = 4;   // the length
 constexpr std::size_t kLongestText = 64;
 constexpr double kLargestLimit = 1e9;
 
--- a/src/service/key_table.h
+++ b/src/service/key_table.h
@@ -37,8 +37,8 @@
   void end(KeyEntry& entry, bool good, std::string_view result, Nanos now);
   void drop(KeyEntry& entry);
   // Known from an earlier life of this node. Not `good`: it may have run.
-  void restore(const EndpointGroup* group, const std::string& key, bool good, std::string_view result, Nanos now,
-               Nanos expires);
+  void restore(const EndpointGroup* group, const std::string& key, bool good, std::string_view result,
+               Nanos now, Nanos expires);
   // Drops what has expired and has neither holder nor waiters.
   void expire(Nanos now);
 
--- a/src/store/committer.cpp
+++ b/src/store/committer.cpp
@@ -7,7 +7,7 @@
 namespace myrtlecroft::store {
 namespace {
 
-constexpr auto kIdle = std::chrono::milliseconds(50);       // between looks for what is over
+constexpr auto kIdle = std::chrono::milliseconds(50);          // between looks for what is over
 constexpr auto kBetweenSlices = std::chrono::milliseconds(1);  // the disk is free for commits meanwhile
 constexpr const char* kTrialKey = "\x01trial";
 
@@ -20,7 +20,9 @@
 
 Committer::Committer(Store& store, const CommitterTerms& terms, std::function<Nanos()> clock,
                      std::function<void()> wake)
-    : store_(store), terms_(terms), clock_(std::move(clock)), wake_(std::move(wake)), thread_([this] { work(); }) {}
+    : store_(store), terms_(terms), clock_(std::move(clock)), wake_(std::move(wake)), thread_([this] {
+        work();
+      }) {}
 
 Committer::~Committer() {
   {
@@ -140,8 +142,8 @@
   return good;
 }
 
-// A record of our own, on a segment of its own: what failed before is never synced again. Waits between trials,
-// on this thread.
+// A record of our own, on a segment of its own: what failed before is never synced again. Waits between
+// trials, on this thread.
 void Committer::try_again() {
   trial_wait_ = std::clamp(2 * trial_wait_, terms_.first_trial, terms_.last_trial);
   {
--- a/src/store/record.cpp
+++ b/src/store/record.cpp
@@ -52,17 +52,20 @@
   out += record.key;
   out += record.value;
   std::string_view whole = std::string_view(out).substr(begin);
-  std::uint64_t sum = checksum(whole.substr(kRecordHead), place(salt, offset) ^ checksum(whole.substr(0, kChecked), salt));
+  std::uint64_t sum =
+      checksum(whole.substr(kRecordHead), place(salt, offset) ^ checksum(whole.substr(0, kChecked), salt));
   std::string bytes;
   put_number(bytes, sum);
   out.replace(begin + kChecked, sizeof sum, bytes);
 }
 
-Found read_record(std::string_view bytes, std::uint64_t salt, std::uint64_t offset, Record& out, std::size_t& size) {
+Found read_record(std::string_view bytes, std::uint64_t salt, std::uint64_t offset, Record& out,
+                  std::size_t& size) {
   std::string mark;
   put_number(mark, kRecordMark);
   if (bytes.size() < kRecordHead) {
-    return mark.starts_with(bytes.substr(0, mark.size())) || bytes.starts_with(mark) ? Found::kCut : Found::kNone;
+    return mark.starts_with(bytes.substr(0, mark.size())) || bytes.starts_with(mark) ? Found::kCut
+                                                                                     : Found::kNone;
   }
   if (!bytes.starts_with(mark)) return Found::kNone;
   std::size_t body = get_number<std::uint32_t>(bytes.substr(4));
--- a/src/store/record.h
+++ b/src/store/record.h
@@ -1,7 +1,7 @@
 // Records, and the heads of the files that hold them, as bytes. No I/O.
 //
-// All numbers are little-endian. A record's checksum hangs on the segment's salt and the record's place in it,
-// so that bytes which look like a record, in a value or left over from another file, are none.
+// All numbers are little-endian. A record's checksum hangs on the segment's salt and the record's place in
+// it, so that bytes which look like a record, in a value or left over from another file, are none.
 #pragma once
 
 #include <cstdint>
@@ -51,7 +51,8 @@
   kNone,  // no record begins here
 };
 // The record at the front of `bytes`, which are at `offset` of their segment. `size` is what it takes.
-Found read_record(std::string_view bytes, std::uint64_t salt, std::uint64_t offset, Record& out, std::size_t& size);
+Found read_record(std::string_view bytes, std::uint64_t salt, std::uint64_t offset, Record& out,
+                  std::size_t& size);
 
 std::uint64_t checksum(std::string_view bytes, std::uint64_t seed);
 
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -29,9 +29,7 @@
   return name;
 }
 
-std::string hint_name(std::uint64_t number) {
-  return segment_name(number).substr(0, 12) + ".hint";
-}
+std::string hint_name(std::uint64_t number) { return segment_name(number).substr(0, 12) + ".hint"; }
 
 std::optional<std::uint64_t> segment_number(const std::string& name) {
   if (name.size() != 16 || !name.ends_with(".seg")) return std::nullopt;
@@ -51,7 +49,8 @@
   constexpr std::size_t kHead = 8 + 4 + 8 + 8 + 8;  // magic, version, next segment, time, count
   if (bytes.size() < kHead + kSum || !bytes.starts_with(kManifestMagic)) return manifest;
   std::string_view body = std::string_view(bytes).substr(0, bytes.size() - kSum);
-  if (get_number<std::uint64_t>(std::string_view(bytes).substr(body.size())) != checksum(body, 0)) return manifest;
+  if (get_number<std::uint64_t>(std::string_view(bytes).substr(body.size())) != checksum(body, 0))
+    return manifest;
   std::uint32_t version = get_number<std::uint32_t>(body.substr(8));
   if (version > kFormatVersion) newer(kManifest, version);
   std::uint64_t count = get_number<std::uint64_t>(body.substr(28));
@@ -181,11 +180,12 @@
     ++found.by_hint;
     return;
   }
-  found.skipped += scan(disk_, name, *head, kSegmentHead, [&](const Record& record, std::uint64_t offset, std::size_t size) {
-    ++found.records;
-    apply(record.key, entry_of(record, number, offset, size));
-    return true;
-  });
+  found.skipped += scan(disk_, name, *head, kSegmentHead,
+                        [&](const Record& record, std::uint64_t offset, std::size_t size) {
+                          ++found.records;
+                          apply(record.key, entry_of(record, number, offset, size));
+                          return true;
+                        });
 }
 
 // A hint that is not of this segment as it stands is not heeded.
@@ -211,14 +211,15 @@
     std::string_view entry = body.substr(at);
     std::size_t key = get_number<std::uint16_t>(entry.substr(kHintEntry - 2));
     if (entry.size() < kHintEntry + key) return false;
-    apply(std::string(entry.substr(kHintEntry, key)), {.kind = static_cast<Kind>(entry[0]),
-                                                       .segment = number,
-                                                       .offset = get_number<std::uint64_t>(entry.substr(1)),
-                                                       .bytes = get_number<std::uint32_t>(entry.substr(9)),
-                                                       .sequence = get_number<std::uint64_t>(entry.substr(13)),
-                                                       .at = get_number<Nanos>(entry.substr(21)),
-                                                       .window = get_number<Nanos>(entry.substr(29)),
-                                                       .expiry = {}});
+    apply(std::string(entry.substr(kHintEntry, key)),
+          {.kind = static_cast<Kind>(entry[0]),
+           .segment = number,
+           .offset = get_number<std::uint64_t>(entry.substr(1)),
+           .bytes = get_number<std::uint32_t>(entry.substr(9)),
+           .sequence = get_number<std::uint64_t>(entry.substr(13)),
+           .at = get_number<Nanos>(entry.substr(21)),
+           .window = get_number<Nanos>(entry.substr(29)),
+           .expiry = {}});
     at += kHintEntry + key;
     ++found.records;
   }
@@ -251,7 +252,8 @@
 
 // ---- The index
 
-Store::Entry Store::entry_of(const Record& record, std::uint64_t segment, std::uint64_t offset, std::size_t bytes) {
+Store::Entry Store::entry_of(const Record& record, std::uint64_t segment, std::uint64_t offset,
+                             std::size_t bytes) {
   return {.kind = record.kind,
           .segment = segment,
           .offset = offset,
@@ -273,7 +275,8 @@
   known = entry;
   segments_.at(entry.segment).live += entry.bytes;
   known.expires = entry.window > 0;
-  if (known.expires) known.expiry = expiries_.emplace_hint(expiries_.end(), entry.at + entry.window, &place->first);
+  if (known.expires)
+    known.expiry = expiries_.emplace_hint(expiries_.end(), entry.at + entry.window, &place->first);
 }
 
 void Store::forget(Index::iterator place) {
@@ -319,8 +322,13 @@
 // ---- Writing
 
 void Store::put(std::string key, std::string value, Nanos window) {
-  if (key.size() > kLongestKey || value.size() > kLongestValue) throw StoreError("a record beyond its bounds");
-  Record record{.sequence = ++sequence_, .at = now(), .window = window, .key = std::move(key), .value = std::move(value)};
+  if (key.size() > kLongestKey || value.size() > kLongestValue)
+    throw StoreError("a record beyond its bounds");
+  Record record{.sequence = ++sequence_,
+                .at = now(),
+                .window = window,
+                .key = std::move(key),
+                .value = std::move(value)};
   batch_.push_back({.record = std::move(record)});
 }
 
@@ -328,7 +336,12 @@
 void Store::drop(const std::string& key) {
   auto place = index_.find(key);
   Nanos window = place == index_.end() ? kSecond : place->second.window;
-  Record record{.kind = Kind::kDropped, .sequence = ++sequence_, .at = now(), .window = window, .key = key, .value = {}};
+  Record record{.kind = Kind::kDropped,
+                .sequence = ++sequence_,
+                .at = now(),
+                .window = window,
+                .key = key,
+                .value = {}};
   batch_.push_back({.record = std::move(record)});
 }
 
@@ -349,8 +362,8 @@
   totals_.syncs += 2;
 }
 
-// A failed write or sync says nothing of what is on the disk, and a second sync that succeeds says no more: the
-// segment is left as it is and never written again. What of it is there is found by the next start.
+// A failed write or sync says nothing of what is on the disk, and a second sync that succeeds says no more:
+// the segment is left as it is and never written again. What of it is there is found by the next start.
 void Store::abandon() {
   batch_.clear();
   compacting_ = 0;
@@ -388,7 +401,8 @@
     // What was put anew or forgotten since it was copied stays so.
     if (pending->copy) {
       auto known = index_.find(pending->record.key);
-      if (known == index_.end() || known->second.segment != pending->from || known->second.offset != pending->from_offset) {
+      if (known == index_.end() || known->second.segment != pending->from ||
+          known->second.offset != pending->from_offset) {
         continue;
       }
     }
@@ -421,8 +435,10 @@
   std::size_t small = 0;
   for (const auto& [number, segment] : segments_) {
     if (!segment.sealed) continue;
-    double dead = 1 - static_cast<double>(segment.live) / static_cast<double>(std::max<std::uint64_t>(segment.bytes, 1));
-    if (segment.live == 0 || (dead >= terms_.dead_share && segment.bytes >= terms_.segment_bytes / 8)) return number;
+    double dead = 1 - static_cast<double>(segment.live) /
+                          static_cast<double>(std::max<std::uint64_t>(segment.bytes, 1));
+    if (segment.live == 0 || (dead >= terms_.dead_share && segment.bytes >= terms_.segment_bytes / 8))
+      return number;
     if (segment.bytes >= terms_.segment_bytes / 2) continue;
     ++small;
     if (!smallest || segment.bytes < segments_.at(*smallest).bytes) smallest = number;
@@ -455,8 +471,10 @@
          }
          compacted_to_ = offset + size;
          auto known = index_.find(record.key);
-         bool current = known != index_.end() && known->second.segment == compacting_ && known->second.offset == offset;
-         if (current) batch_.push_back({.record = record, .copy = true, .from = compacting_, .from_offset = offset});
+         bool current =
+             known != index_.end() && known->second.segment == compacting_ && known->second.offset == offset;
+         if (current)
+           batch_.push_back({.record = record, .copy = true, .from = compacting_, .from_offset = offset});
          return true;
        });
   copies_out_ = whole;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,6 +1,6 @@
 // An embedded store of what must outlive a crash: an append-only log in segments, an index in memory, hints
-// for quick recovery, expiry by window and compaction in slices. All calls from one thread; Committer puts one
-// beside a loop. docs/design/store.md weighs the options.
+// for quick recovery, expiry by window and compaction in slices. All calls from one thread; Committer puts
+// one beside a loop. docs/design/store.md weighs the options.
 #pragma once
 
 #include <functional>
@@ -32,18 +32,18 @@
 // What was found at the start.
 struct Recovery {
   std::size_t segments = 0;
-  std::size_t by_hint = 0;      // of them, known from their hints
-  std::size_t records = 0;      // read
-  std::size_t kept = 0;         // known now
+  std::size_t by_hint = 0;  // of them, known from their hints
+  std::size_t records = 0;  // read
+  std::size_t kept = 0;     // known now
   std::uint64_t bytes = 0;
-  std::uint64_t skipped = 0;    // bytes that were no record: a torn tail, or damage
+  std::uint64_t skipped = 0;  // bytes that were no record: a torn tail, or damage
 };
 
 struct Totals {
-  std::uint64_t appended = 0;   // bytes of records that were put
-  std::uint64_t written = 0;    // bytes in all, with copies, heads and hints
+  std::uint64_t appended = 0;  // bytes of records that were put
+  std::uint64_t written = 0;   // bytes in all, with copies, heads and hints
   std::uint64_t syncs = 0;
-  std::uint64_t retired = 0;    // segments
+  std::uint64_t retired = 0;  // segments
 };
 
 class Store {
@@ -54,8 +54,8 @@
   // Reads all that is there. Throws StoreError or DiskError.
   Recovery open();
 
-  // The store's own time: goes on from the last that was written. It stands still while no process has the store
-  // open, so that no window is ever shorter for a crash or a step of the wall clock.
+  // The store's own time: goes on from the last that was written. It stands still while no process has the
+  // store open, so that no window is ever shorter for a crash or a step of the wall clock.
   Nanos now() const { return base_ + (clock_() - opened_at_); }
 
   // For the next commit.
@@ -70,8 +70,8 @@
   // Every record that is known and not over, in the order of the disk.
   void each(const std::function<void(const Record&)>& tell);
 
-  // Forgets what is over, and does one slice of compaction, whose copies go with the next commit. False: there
-  // is nothing to compact.
+  // Forgets what is over, and does one slice of compaction, whose copies go with the next commit. False:
+  // there is nothing to compact.
   bool compact_slice();
 
   std::size_t size() const { return index_.size(); }
@@ -143,8 +143,8 @@
 };
 
 // Which segments count. What lies behind `next` was made later and is live; before it, what is not named is a
-// rest of compaction. One that is not there or is damaged says nothing: then every segment is live, which is safe,
-// since what compaction leaves behind are older copies of the same records.
+// rest of compaction. One that is not there or is damaged says nothing: then every segment is live, which is
+// safe, since what compaction leaves behind are older copies of the same records.
 struct Manifest {
   bool there = false;
   bool good = false;
--- a/src/store/survey.cpp
+++ b/src/store/survey.cpp
@@ -40,19 +40,21 @@
       out.salts[*number] = head->salt;
       std::uint64_t last_end = kSegmentHead;
       std::uint64_t between = 0;
-      segment.skipped = scan(disk, name, *head, kSegmentHead, [&](const Record& record, std::uint64_t offset, std::size_t size) {
-        between += offset - last_end;
-        last_end = offset + size;
-        ++segment.records;
-        segment.dropped += record.kind == Kind::kDropped;
-        out.survey.time = std::max(out.survey.time, record.at);
-        if (!segment.named) return true;
-        Newest& known = out.newest[record.key];
-        if (record.sequence >= known.sequence) {
-          known = {record.sequence, *number, offset, size, record.kind == Kind::kDropped, record.at, record.window};
-        }
-        return true;
-      });
+      segment.skipped = scan(
+          disk, name, *head, kSegmentHead, [&](const Record& record, std::uint64_t offset, std::size_t size) {
+            between += offset - last_end;
+            last_end = offset + size;
+            ++segment.records;
+            segment.dropped += record.kind == Kind::kDropped;
+            out.survey.time = std::max(out.survey.time, record.at);
+            if (!segment.named) return true;
+            Newest& known = out.newest[record.key];
+            if (record.sequence >= known.sequence) {
+              known = {record.sequence, *number,      offset, size, record.kind == Kind::kDropped,
+                       record.at,       record.window};
+            }
+            return true;
+          });
       segment.tail_only = between == 0;
     }
     out.survey.segments.push_back(segment);
@@ -86,7 +88,8 @@
   std::sort(in_order.begin(), in_order.end(),
             [](const Newest* one, const Newest* other) { return one->sequence < other->sequence; });
   for (const Newest* known : in_order) {
-    std::string bytes = disk.read(segment_name(known->segment), known->offset, static_cast<std::size_t>(known->bytes));
+    std::string bytes =
+        disk.read(segment_name(known->segment), known->offset, static_cast<std::size_t>(known->bytes));
     Record record;
     std::size_t size = 0;
     if (read_record(bytes, all.salts.at(known->segment), known->offset, record, size) == Found::kRecord) {
--- a/src/store/survey.h
+++ b/src/store/survey.h
@@ -1,5 +1,5 @@
-// A store's folder read over without opening it: for the tool. Writes nothing, and may be used beside a process
-// that has the store open.
+// A store's folder read over without opening it: for the tool. Writes nothing, and may be used beside a
+// process that has the store open.
 #pragma once
 
 #include <map>
@@ -11,9 +11,9 @@
 struct SurveyedSegment {
   std::uint64_t number = 0;
   std::uint32_t version = 0;
-  bool named = true;       // the manifest counts it
+  bool named = true;  // the manifest counts it
   bool head_good = true;
-  bool hint = false;       // one is there
+  bool hint = false;  // one is there
   std::uint64_t bytes = 0;
   std::uint64_t records = 0;
   std::uint64_t current = 0;  // of them, the newest of their keys
@@ -25,9 +25,9 @@
 struct Survey {
   Manifest manifest;
   std::vector<SurveyedSegment> segments;
-  std::uint64_t keys = 0;      // known, dropped ones left out
+  std::uint64_t keys = 0;  // known, dropped ones left out
   std::uint64_t bytes = 0;
-  Nanos time = 0;              // the last that was written
+  Nanos time = 0;  // the last that was written
   // Damage: a head, a manifest, or bytes amid records. A torn tail is none: a crash leaves one.
   bool damaged() const;
 };
--- a/tests/durable_test.cpp
+++ b/tests/durable_test.cpp
@@ -1,4 +1,5 @@
-// Runs written down before they happen: the service with a record of the story's, and the whole program killed.
+// Runs written down before they happen: the service with a record of the story's, and the whole program
+// killed.
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -176,7 +177,8 @@
     Plain peer = caller();
     peer.write(booking(1, "00000000000000a1", "aa"));
     ASSERT_TRUE(comes(engine, "00000000000000a1"));
-    engine.write(R"({"cmd":"DONE","offset":1,"req":"00000000000000a1","result":"success","payload":"QUJD"})" "\n");
+    engine.write(R"({"cmd":"DONE","offset":1,"req":"00000000000000a1","result":"success","payload":"QUJD"})"
+                 "\n");
     ASSERT_TRUE(comes(peer, "ABC"));
     peer.write(booking(2, "00000000000000b1", "bb"));
     ASSERT_TRUE(comes(engine, "00000000000000b1"));
@@ -193,7 +195,8 @@
   // What is new runs.
   peer.write(booking(3, "00000000000000c2", "cc"));
   std::string commands;
-  EXPECT_TRUE(until([&] { return (commands += engine.read()).find("00000000000000c2") != std::string::npos; }));
+  EXPECT_TRUE(
+      until([&] { return (commands += engine.read()).find("00000000000000c2") != std::string::npos; }));
   EXPECT_EQ(commands.find("00000000000000a2"), std::string::npos);
   EXPECT_EQ(commands.find("00000000000000b2"), std::string::npos);
 }
@@ -219,7 +222,8 @@
         ++ran[key_of[id]];
         if (random() % 4) {
           engine.offer(R"({"cmd":"DONE","offset":)" + std::to_string(++offset) + R"(,"req":")" + id +
-                       R"(","result":"success","payload":"QUJD"})" "\n");
+                       R"(","result":"success","payload":"QUJD"})"
+                       "\n");
         }
       }
     };
--- a/tests/net_story.h
+++ b/tests/net_story.h
@@ -23,9 +23,7 @@
 
 namespace myrtlecroft::net {
 
-inline sockaddr_in at_port(int port) {
-  return loopback(static_cast<std::uint16_t>(port));
-}
+inline sockaddr_in at_port(int port) { return loopback(static_cast<std::uint16_t>(port)); }
 
 // A plain socket that never blocks.
 class Plain {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -526,8 +526,8 @@
   EXPECT_TRUE(comes(again, "ATTACH"));
 }
 
-// The table of descriptors grew at the 257th connection, amid a storm of them, and with the log's thread beside
-// it all servers stood still for 6 s.
+// The table of descriptors grew at the 257th connection, amid a storm of them, and with the log's thread
+// beside it all servers stood still for 6 s.
 TEST_F(ProgramStory, HasRoomForAllItsDescriptorsBeforeTheFirstConnection) {
   start();
   Plain engine = linked();
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -1,12 +1,12 @@
 // Who is waited for and who is not, with a clock that the story turns.
+#include "peers/pacing.h"
+
 #include <gtest/gtest.h>
 
 #include <deque>
 #include <memory>
 #include <vector>
 
-#include "peers/pacing.h"
-
 namespace myrtlecroft::peers {
 namespace {
 
@@ -19,8 +19,7 @@
     if (effect == Effect::kCancel) now.awaited = 0;
   }
   bool dropped() const {
-    return !effects.empty() &&
-           (effects.back() == Effect::kDropSlow || effects.back() == Effect::kDropUnread);
+    return !effects.empty() && (effects.back() == Effect::kDropSlow || effects.back() == Effect::kDropUnread);
   }
   Standing now;
   std::vector<Effect> effects;
@@ -184,7 +183,9 @@
   peer.now.awaited = 2;
   pass(900 * kMs, [&] { peer.now.out += 3'000, peer.now.unread -= 3'000; });
   EXPECT_FALSE(peer.dropped());
-  pass(1 * kSecond, [&] { peer.now.out += 1'000, peer.now.unread = peer.now.unread > 1'000 ? peer.now.unread - 1'000 : 0; });
+  pass(1 * kSecond, [&] {
+    peer.now.out += 1'000, peer.now.unread = peer.now.unread > 1'000 ? peer.now.unread - 1'000 : 0;
+  });
   ASSERT_TRUE(peer.reading);
   // Its request gets its grace from here on.
   pass(500 * kMs, [&] { peer.now.out += 1'000; });
--- a/tests/program_story.h
+++ b/tests/program_story.h
@@ -30,8 +30,8 @@
     auto at = [](int there) { return "\"127.0.0.1:" + std::to_string(there) + "\""; };
     std::ofstream(config)
         << R"({"name":"n7","seed":"a1","stop_ms":1500,"limits":{"memory_mb":64,"sockets":)" << descriptors
-        << R"(},"listen":)" << at(port)
-        << ",\"engine\":" << at(engine) << ",\"db\":" << at(free_port()) << ",\"members\":" << at(membership)
+        << R"(},"listen":)" << at(port) << ",\"engine\":" << at(engine) << ",\"db\":" << at(free_port())
+        << ",\"members\":" << at(membership)
         << R"(,"settings":{"classes":[{"name":"read","effect":"idempotent","gain":1,"goalTimeNs":2000000000,)"
         << R"("hardLimitNs":5000000000},{"name":"book","effect":"deduplicated","gain":1,"goalTimeNs":2000000000,)"
         << R"("hardLimitNs":5000000000,"dedupWindowNs":60000000000}],"familyInfo":{"nCores":2,"ramKb":50000,"meters":["core_use"]},)"
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -77,11 +77,13 @@
 struct Node {
   Node(std::unique_ptr<store::FakeDisk> on, std::map<std::string, int>& engine)
       : disk(std::move(on)),
-        store(*disk, {.segment_bytes = 600, .slice_bytes = 300, .most_small = 3}, [this] { return time; }, 5),
+        store(
+            *disk, {.segment_bytes = 600, .slice_bytes = 300, .most_small = 3}, [this] { return time; }, 5),
         ran(engine) {}
   void start() {
     store.open();
-    store.each([&](const store::Record& record) { records.recovered(record.key, record.value, record.window); });
+    store.each(
+        [&](const store::Record& record) { records.recovered(record.key, record.value, record.window); });
   }
   void write(const std::string& key, bool intent) {
     store.put(key, records.record_of(key), kWindow);
--- a/tests/slow_peers_test.cpp
+++ b/tests/slow_peers_test.cpp
@@ -39,8 +39,8 @@
     world.done(id);
     return comes(peer, "Status: 200");
   }
-  // Sends deduplicated exchanges one after the other and completes them, reading nothing, until the peer is no
-  // longer read. Their keys are their ids, from `base` on. How many were completed.
+  // Sends deduplicated exchanges one after the other and completes them, reading nothing, until the peer is
+  // no longer read. Their keys are their ids, from `base` on. How many were completed.
   int completes_unread(Plain& peer, int base) {
     using peers::State;
     std::size_t held_back = front.pacing().count(State::kPaused) + front.pacing().count(State::kBlocked);
@@ -68,7 +68,8 @@
   std::string whole = request(1, "/api/v2/read", first);
   std::size_t body = whole.size() - 8 - 4 - 8;
   std::vector<Plain> stopped;
-  for (std::size_t at : {std::size_t{0}, std::size_t{3}, std::size_t{16}, std::size_t{60}, body + 9, whole.size() - 1}) {
+  for (std::size_t at :
+       {std::size_t{0}, std::size_t{3}, std::size_t{16}, std::size_t{60}, body + 9, whole.size() - 1}) {
     stopped.push_back(connected());
     stopped.back().write(whole.substr(0, at));
   }
--- a/tests/store_fakes.h
+++ b/tests/store_fakes.h
@@ -30,7 +30,7 @@
   int fail_at = 0;
   int crash_at = 0;
   int fail_code = EIO;
-  bool failing = false;    // every one does
+  bool failing = false;  // every one does
   std::size_t space = SIZE_MAX;
   int done = 0;
   std::function<void()> in_sync = [] {};
@@ -72,8 +72,8 @@
     changes.clear();
   }
 
-  // What a crash leaves: some of the changes of the folder in their order, of each file what was synced and any
-  // blocks of the rest. `keep` says of each in turn whether it is kept.
+  // What a crash leaves: some of the changes of the folder in their order, of each file what was synced and
+  // any blocks of the rest. `keep` says of each in turn whether it is kept.
   std::unique_ptr<FakeDisk> after_crash(const std::function<bool()>& keep) const {
     auto out = std::make_unique<FakeDisk>();
     Names left = synced_names;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,6 +1,6 @@
-// The simulator's adapter, bytes in and bytes out. In place of the policy stands a Controller that writes each
-// input with all that came with it as a log line, and on a notice to leave does every action once. The last
-// tests run the program itself, with the policy.
+// The simulator's adapter, bytes in and bytes out. In place of the policy stands a Controller that writes
+// each input with all that came with it as a log line, and on a notice to leave does every action once. The
+// last tests run the program itself, with the policy.
 #include "wirehost/wire.h"
 
 #include <gtest/gtest.h>
@@ -50,27 +50,31 @@
   }
   core_->note("servers ", terms.servers, " callers ", terms.callers, " cores ", terms.cores, " memory ",
               terms.memory_kb, " blowup ", terms.run_factor, " key ", terms.key_kb);
-  core_->note("over share ", terms.over_share_benefit, " by work ", terms.benefit_by_work, " cold ", terms.cold,
-              " from ", terms.cold_from, " warm in ", terms.warm_within);
+  core_->note("over share ", terms.over_share_benefit, " by work ", terms.benefit_by_work, " cold ",
+              terms.cold, " from ", terms.cold_from, " warm in ", terms.warm_within);
   core_->note("crowd ", terms.crowd_factor, " over ", terms.crowd_window, " below ", terms.has_dependency,
               " share ", terms.calls_share, " over ", terms.calls_window, " stays ", terms.call_lingers);
-  core_->note("fresh ", terms.fresh_for, " grace ", terms.drain_grace, " slack ", terms.answer_slack, " tick ",
-              terms.tick, " idle ", terms.longest_idle, " pause ", terms.longest_pause, " stop mode ",
-              static_cast<int>(terms.stop_mode), " advert ", static_cast<int>(terms.free_value));
+  core_->note("fresh ", terms.fresh_for, " grace ", terms.drain_grace, " slack ", terms.answer_slack,
+              " tick ", terms.tick, " idle ", terms.longest_idle, " pause ", terms.longest_pause,
+              " stop mode ", static_cast<int>(terms.stop_mode), " advert ",
+              static_cast<int>(terms.free_value));
 }
 
 void Controller::read(Exchange& ex, Nanos now) {
   core_->newest = &ex;
-  core_->note("read at ", now, " class ", ex.group->name, " tenant ", ex.customer ? ex.customer->name : "none",
-              " key ", ex.has_subject, " writes ", ex.writes, " arrived ", ex.arrived, " due ", ex.gives_up_at,
-              " work ", ex.work_hint, " kb ", ex.held_kb, " repeats ", ex.repeats, " prior of kb ",
-              ex.prior ? ex.prior->held_kb : 0);
+  core_->note("read at ", now, " class ", ex.group->name, " tenant ",
+              ex.customer ? ex.customer->name : "none", " key ", ex.has_subject, " writes ", ex.writes,
+              " arrived ", ex.arrived, " due ", ex.gives_up_at, " work ", ex.work_hint, " kb ", ex.held_kb,
+              " repeats ", ex.repeats, " prior of kb ", ex.prior ? ex.prior->held_kb : 0);
 }
 
-void Controller::reached_call(Exchange& ex, Nanos now) { core_->note("at call at ", now, " kb ", ex.held_kb); }
+void Controller::reached_call(Exchange& ex, Nanos now) {
+  core_->note("at call at ", now, " kb ", ex.held_kb);
+}
 
 void Controller::call_ended(Exchange& ex, Outcome outcome, Nanos took, Nanos now) {
-  core_->note("call done at ", now, " kb ", ex.held_kb, " outcome ", static_cast<int>(outcome), " took ", took);
+  core_->note("call done at ", now, " kb ", ex.held_kb, " outcome ", static_cast<int>(outcome), " took ",
+              took);
 }
 
 void Controller::settled(Exchange& ex, Outcome outcome, Nanos now) {
@@ -129,8 +133,8 @@
 }
 
 std::string batch(int number, const std::string& events) {
-  return R"({"m":"Turn","momentNs":)" + std::to_string(1000 * number) + R"(,"seq":)" + std::to_string(number) +
-         "}\n" + events + "{\"m\":\"EofBatch\"}\n";
+  return R"({"m":"Turn","momentNs":)" + std::to_string(1000 * number) + R"(,"seq":)" +
+         std::to_string(number) + "}\n" + events + "{\"m\":\"EofBatch\"}\n";
 }
 
 // A call with all that it must have, and more.
@@ -212,21 +216,24 @@
             logged("servers 1 callers 1 cores 3 memory 5000 blowup 1 key 0") +
                 logged("over share 1 by work 0 cold 0 from 1 warm in 0") +
                 logged("crowd 6 over 1200 below 0 share 0 over 0 stays 0") +
-                logged("fresh 0 grace 0 slack 0 tick 0 idle 0 pause 0 stop mode 0 advert 0") + end_of_reply(1));
+                logged("fresh 0 grace 0 slack 0 tick 0 idle 0 pause 0 stop mode 0 advert 0") +
+                end_of_reply(1));
 }
 
 TEST(Wire, CallBringsAllItsFields) {
-  EXPECT_EQ(reply_to(R"({"m":"Call","server":1,"requestId":4503599627370495,"profile":"pay","tenant":"south",)"
-                     R"("targetKey":9007199254740991,"giveUpAtNs":2900,"workNs":33,"footprint":24.5,"prio":0.5,)"
-                     R"("repeat":true,"update":true,"src":17,"ageNs":150,"prior":12})"
-                     "\n"),
-            logged("read at 2000 class pay tenant south key 1 writes 1 arrived 1850 due 2900 work 33 kb 24.5 "
-                   "repeats 1 prior of kb 0"));
+  EXPECT_EQ(
+      reply_to(R"({"m":"Call","server":1,"requestId":4503599627370495,"profile":"pay","tenant":"south",)"
+               R"("targetKey":9007199254740991,"giveUpAtNs":2900,"workNs":33,"footprint":24.5,"prio":0.5,)"
+               R"("repeat":true,"update":true,"src":17,"ageNs":150,"prior":12})"
+               "\n"),
+      logged("read at 2000 class pay tenant south key 1 writes 1 arrived 1850 due 2900 work 33 kb 24.5 "
+             "repeats 1 prior of kb 0"));
 }
 
 TEST(Wire, CallWithoutOptionalFieldsSkipsThemAndUnknownOnesToo) {
   std::string bare = logged(
-      "read at 2000 class browse tenant none key 0 writes 0 arrived 2000 due 0 work 0 kb 8 repeats 0 prior of "
+      "read at 2000 class browse tenant none key 0 writes 0 arrived 2000 due 0 work 0 kb 8 repeats 0 prior "
+      "of "
       "kb 0");
   EXPECT_EQ(reply_to(call(5, 8)), bare);
   EXPECT_EQ(reply_to(call(5, 8, R"(,"tenant":0,"prior":0,"giveUpAtNs":0)")), bare);
@@ -262,8 +269,8 @@
 }
 
 TEST(Wire, EachOutcomeHasItsWord) {
-  const char* words[] = {"Ok", "Failed", "QueueFull", "TimedOut", "ConnectError", "ResetByPeer", "Canceled",
-                         "Ignored"};
+  const char* words[] = {"Ok",           "Failed",      "QueueFull", "TimedOut",
+                         "ConnectError", "ResetByPeer", "Canceled",  "Ignored"};
   for (int i = 0; i < 8; ++i) {
     std::string done = R"({"m":"CallDone","server":1,"requestId":5,"rttNs":1,"reason":")";
     EXPECT_EQ(reply_to(done + words[i] + "\"}\n", provision(1) + call(5, 8)),
@@ -289,15 +296,16 @@
   std::string act = R"(","server":1,"requestId":5)";
   std::string own = R"(","server":1)";
   EXPECT_EQ(reply_to("{\"m\":\"WindDown\",\"server\":1,\"giveUpAtNs\":9900}\n", provision(1) + call(5, 8)),
-            logged("leave at 2000 by 9900") + R"({"m":"Take)" + act + "}\n" + R"({"m":"AbortWork)" + act + "}\n" +
-                R"({"m":"Reject)" + act + R"(,"dontRetry":true,"pauseNs":7})" + "\n" + R"({"m":"Reject)" + act +
-                "}\n" + R"({"m":"FinishError)" + act + "}\n" + R"({"m":"GoCall)" + act + ",\"maxWaitNs\":8}\n" +
-                R"({"m":"Bypass)" + act + "}\n" + R"({"m":"StoreKey)" + act + ",\"forTimeNs\":9}\n" +
-                R"({"m":"Unpin)" + act + "}\n" + R"({"m":"Attach)" + act + "}\n" + R"({"m":"ReportHealth)" + own +
-                ",\"stored\":true,\"want\":true}\n" + R"({"m":"ReportHealth)" + own +
-                ",\"stored\":true,\"want\":false}\n" + R"({"m":"Advertise)" + own + ",\"level\":0.500000}\n" +
-                R"({"m":"IdleLimit)" + own + ",\"forTimeNs\":10}\n" + R"({"m":"SetTimer)" + own +
-                ",\"sleepForNs\":11,\"token\":12}\n" + logged(R"(a \"quoted\" \\ line )"));
+            logged("leave at 2000 by 9900") + R"({"m":"Take)" + act + "}\n" + R"({"m":"AbortWork)" + act +
+                "}\n" + R"({"m":"Reject)" + act + R"(,"dontRetry":true,"pauseNs":7})" + "\n" +
+                R"({"m":"Reject)" + act + "}\n" + R"({"m":"FinishError)" + act + "}\n" + R"({"m":"GoCall)" +
+                act + ",\"maxWaitNs\":8}\n" + R"({"m":"Bypass)" + act + "}\n" + R"({"m":"StoreKey)" + act +
+                ",\"forTimeNs\":9}\n" + R"({"m":"Unpin)" + act + "}\n" + R"({"m":"Attach)" + act + "}\n" +
+                R"({"m":"ReportHealth)" + own + ",\"stored\":true,\"want\":true}\n" +
+                R"({"m":"ReportHealth)" + own + ",\"stored\":true,\"want\":false}\n" + R"({"m":"Advertise)" +
+                own + ",\"level\":0.500000}\n" + R"({"m":"IdleLimit)" + own + ",\"forTimeNs\":10}\n" +
+                R"({"m":"SetTimer)" + own + ",\"sleepForNs\":11,\"token\":12}\n" +
+                logged(R"(a \"quoted\" \\ line )"));
 }
 
 TEST(Wire, StopEndsALifeAndProvisionMayBeginAnotherInTheSameBatch) {
@@ -322,7 +330,8 @@
                                    "{\"m\":\"Dropped\",\"server\":1,\"requestId\":5}\n",
                                provision(1) + provision(2, kLeast));
   std::string read =
-      "read at 2000 class browse tenant none key 0 writes 0 arrived 2000 due 0 work 0 kb 8 repeats 0 prior of "
+      "read at 2000 class browse tenant none key 0 writes 0 arrived 2000 due 0 work 0 kb 8 repeats 0 prior "
+      "of "
       "kb 0";
   std::string other = read;
   other.replace(other.find("kb 8"), 4, "kb 9");
@@ -355,7 +364,8 @@
       {R"({"m":"WindDown","server":1,"giveUpAtNs":"soon"})", "field 'giveUpAtNs' is not a whole number"},
       {R"({"m":"Ring","server":1,"token":"t"})", "field 'token' is not a whole number"},
       {R"({"m":"Ring","server":1,"token":1,"metrics":[1]})", "field 'metrics' is missing or not an object"},
-      {R"({"m":"Ring","server":1,"token":1,"metrics":{"core_use":"0.5"}})", "field 'core_use' is not a number"},
+      {R"({"m":"Ring","server":1,"token":1,"metrics":{"core_use":"0.5"}})",
+       "field 'core_use' is not a number"},
       {R"({"m":"Ring","server":1,"token":1,"metrics":{"on_cores":{}}})", "field 'on_cores' is not a number"},
       {R"({"m":"Ring","server":1,"token":1,"metrics":{"links":true}})", "field 'links' is not a number"},
       {R"({"m":"Stop","server":{}})", "field 'server' is not a whole number"},
@@ -418,7 +428,8 @@
   void run(const std::string& input) {
     std::ofstream(folder / "in") << input;
     std::string at = folder.string();
-    int status = std::system((MYRTLECROFT_WIREHOST " <" + at + "/in >" + at + "/out 2>" + at + "/err").c_str());
+    int status =
+        std::system((MYRTLECROFT_WIREHOST " <" + at + "/in >" + at + "/out 2>" + at + "/err").c_str());
     exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     out = text_of("out");
     complaint = text_of("err");
