--- a/Makefile
+++ b/Makefile
@@ -1,29 +1,35 @@
 # Short names for what README describes.
 CONFIG ?= deploy/example.json
-SOURCES := $(shell git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' 'measure/*.cpp')
+# What .lint-folders lists. Tests are formatted and not linted: their GoogleTest headers would double the time.
+LISTED := $(shell sed '/^\#/d' .lint-folders)
+SOURCES := $(filter %.h %.cpp,$(shell git ls-files $(LISTED)))
+empty :=
+LISTED_HEADERS := $(CURDIR)/($(subst $(empty) $(empty),|,$(strip $(LISTED))))
+LINTED := $(filter-out tests/%,$(filter %.cpp,$(SOURCES)))
 
 .PHONY: setup build node test sanitize demo lint format run
 
 # What a folder's cache may hold from another target is set in each: all, the platform's form, and with tests.
-ALL := -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=OFF -DMYRTLECROFT_TESTS=OFF -DMYRTLECROFT_WERROR=OFF
-NODE := -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=ON -DMYRTLECROFT_TESTS=OFF -DMYRTLECROFT_WERROR=OFF
-TESTS := -DMYRTLECROFT_PLATFORM=OFF -DMYRTLECROFT_TESTS=ON
+ALL_FORM := -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=OFF -DMYRTLECROFT_TESTS=OFF -DMYRTLECROFT_WERROR=OFF
+NODE_FORM := -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=ON -DMYRTLECROFT_TESTS=OFF -DMYRTLECROFT_WERROR=OFF
+TESTS_FORM := -DMYRTLECROFT_PLATFORM=OFF -DMYRTLECROFT_TESTS=ON
+CI_FORM := -DCMAKE_BUILD_TYPE=Release $(TESTS_FORM) -DMYRTLECROFT_WERROR=ON
 
 setup:
 	deploy/setup.sh
 
 # Everything but the tests.
 build: setup
-	cmake -B build $(ALL)
+	cmake -B build $(ALL_FORM)
 	cmake --build build -j4
 
 # What the platform runs, and nothing else.
 node:
-	cmake -B build $(NODE)
+	cmake -B build $(NODE_FORM)
 	cmake --build build -j4
 
 test: setup
-	cmake -B build/ci -DCMAKE_BUILD_TYPE=Release $(TESTS) -DMYRTLECROFT_WERROR=ON
+	cmake -B build/ci $(CI_FORM)
 	cmake --build build/ci -j4
 	tests/run.sh build/ci
 
@@ -31,13 +37,15 @@
 # look at memory with, and fails in tests that take all descriptors away.
 SANITIZED := myrtlecroft_test myrtlecroft_endings_test myrtlecroft_durable_test myrtlecroft_store_test myrtlecroft_reporter_test
 sanitize: setup
-	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo $(TESTS) -DMYRTLECROFT_WERROR=OFF \
+	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo $(TESTS_FORM) -DMYRTLECROFT_WERROR=OFF \
 	  "-DCMAKE_CXX_FLAGS=-fsanitize=address,undefined -fno-sanitize=vptr -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
 	cmake --build build/sanitize -j4 --target $(SANITIZED)
 	for each in $(SANITIZED); do build/sanitize/$$each --gtest_brief=1 || exit 1; done
 
-lint:
+lint: setup
+	cmake -B build/ci $(CI_FORM)
 	clang-format --dry-run --Werror $(SOURCES)
+	printf '%s\n' $(LINTED) | xargs -P4 -n1 clang-tidy -quiet -p build/ci --header-filter='$(LISTED_HEADERS)'
 
 format:
 	clang-format -i $(SOURCES)
@@ -62,12 +70,12 @@
 PEERS ?= 1000
 DESCRIPTORS ?= 1024
 measure-slow: setup build/before-slow/build/myrtlecroft
-	cmake -B build/measure $(ALL)
+	cmake -B build/measure $(ALL_FORM)
 	cmake --build build/measure -j4 --target measure_slow
 	build/measure/measure_slow build/before-slow/build/myrtlecroft $(PEERS) $(DESCRIPTORS)
 
 # Long measurements: each prints its figures on the last line.
 measure-%: setup
-	cmake -B build/measure $(ALL)
+	cmake -B build/measure $(ALL_FORM)
 	cmake --build build/measure -j4 --target measure_$*
 	build/measure/measure_$*
--- a/deploy/setup.sh
+++ b/deploy/setup.sh
@@ -1,10 +1,10 @@
 #!/bin/bash
-# Installs the Debian packages that a full build with tests needs and that are missing. Waits for another
+# Installs the Debian packages that a full build with tests and lint needs and that are missing. Waits for another
 # installation to end.
 set -euo pipefail
 needed=(g++ cmake pkg-config libsimdjson-dev libevent-dev libspdlog-dev libgtest-dev libconfig++-dev libxxhash-dev
         librapidcheck-dev libgrpc++-dev protobuf-compiler-grpc libprotobuf-dev libcli11-dev libhdf5-dev libraft-dev
-        libboost-dev libncurses-dev)
+        libboost-dev libncurses-dev clang-format clang-tidy)
 missing=()
 for package in "${needed[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/src/net/reporter.cpp
+++ b/src/net/reporter.cpp
@@ -13,8 +13,8 @@
 constexpr Nanos kFirstWait = 200 * kMs;
 constexpr Nanos kLongestWait = 2'000 * kMs;
 constexpr Nanos kFresh = 1'000 * kMs;
-constexpr std::size_t kMostSent = 64;  // reports that are remembered
-constexpr std::size_t kMostWaiting = 16 * 1024;  // bytes a control service may leave unread
+constexpr std::size_t kMostSent = 64;                         // reports that are remembered
+constexpr std::size_t kMostWaiting = std::size_t{16} * 1024;  // bytes a control service may leave unread
 
 std::string written(const sockaddr_in& address) {
   char host[INET_ADDRSTRLEN] = "";
@@ -115,7 +115,8 @@
 
 bool Reporter::is_fresh(std::uint64_t sequence) const {
   std::uint64_t ago = next_.sequence - sequence;
-  return ago < sent_.size() && loop_.now() - sent_[sent_.size() - 1 - static_cast<std::size_t>(ago)] <= kFresh;
+  return ago < sent_.size() &&
+         loop_.now() - sent_[sent_.size() - 1 - static_cast<std::size_t>(ago)] <= kFresh;
 }
 
 report::NodeReport Reporter::report() {
--- a/src/report/frames.h
+++ b/src/report/frames.h
@@ -17,7 +17,7 @@
 namespace myrtlecroft::report {
 
 constexpr std::uint8_t kFormatVersion = 1;
-constexpr std::size_t kLargestFrame = 16 * 1024;  // bytes behind the length
+constexpr std::size_t kLargestFrame = std::size_t{16} * 1024;  // bytes behind the length
 constexpr std::size_t kMostGroups = 200;
 
 // Counted since the start of this life of the node.
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -1,7 +1,7 @@
 // The store's tool: what is in a folder, whether it is whole, and what to take out of it.
-#include <CLI/CLI.hpp>
 #include <hdf5.h>
 
+#include <CLI/CLI.hpp>
 #include <chrono>
 #include <cstdio>
 #include <memory>
@@ -40,36 +40,47 @@
 
 void print(const Survey& found, bool as_json) {
   if (as_json) {
-    std::printf("{\"manifest\":%s,\"damaged\":%s,\"keys\":%llu,\"bytes\":%llu,\"time_ns\":%lld,\"segments\":[",
-                json_text(!found.manifest.there ? "none" : found.manifest.good ? "good" : "damaged").c_str(),
-                found.damaged() ? "true" : "false", static_cast<unsigned long long>(found.keys),
-                static_cast<unsigned long long>(found.bytes), static_cast<long long>(found.time));
+    std::printf(
+        "{\"manifest\":%s,\"damaged\":%s,\"keys\":%llu,\"bytes\":%llu,\"time_ns\":%lld,\"segments\":[",
+        json_text(!found.manifest.there ? "none"
+                  : found.manifest.good ? "good"
+                                        : "damaged")
+            .c_str(),
+        found.damaged() ? "true" : "false", static_cast<unsigned long long>(found.keys),
+        static_cast<unsigned long long>(found.bytes), static_cast<long long>(found.time));
   } else {
     std::printf("manifest %s, %llu keys, %llu bytes, store time %.3f s%s\n",
-                !found.manifest.there ? "none" : found.manifest.good ? "good" : "DAMAGED",
+                !found.manifest.there ? "none"
+                : found.manifest.good ? "good"
+                                      : "DAMAGED",
                 static_cast<unsigned long long>(found.keys), static_cast<unsigned long long>(found.bytes),
                 static_cast<double>(found.time) / 1e9, found.damaged() ? ", DAMAGED" : "");
-    std::printf("%-16s %7s %12s %10s %10s %8s %8s %5s  %s\n", "segment", "format", "bytes", "records", "current", "dropped",
-                "skipped", "hint", "remark");
+    std::printf("%-16s %7s %12s %10s %10s %8s %8s %5s  %s\n", "segment", "format", "bytes", "records",
+                "current", "dropped", "skipped", "hint", "remark");
   }
   bool first = true;
   for (const SurveyedSegment& each : found.segments) {
-    const char* remark = !each.named         ? "left by compaction"
-                         : !each.head_good   ? "head damaged"
-                         : !each.tail_only   ? "damaged amid records"
-                         : each.skipped      ? "torn tail"
-                                             : "";
+    const char* remark = !each.named       ? "left by compaction"
+                         : !each.head_good ? "head damaged"
+                         : !each.tail_only ? "damaged amid records"
+                         : each.skipped    ? "torn tail"
+                                           : "";
     if (as_json) {
-      std::printf("%s{\"segment\":%llu,\"format\":%u,\"bytes\":%llu,\"records\":%llu,\"current\":%llu,\"dropped\":%llu,"
-                  "\"skipped\":%llu,\"hint\":%s,\"remark\":%s}",
-                  std::exchange(first, false) ? "" : ",", static_cast<unsigned long long>(each.number), each.version,
-                  static_cast<unsigned long long>(each.bytes), static_cast<unsigned long long>(each.records),
-                  static_cast<unsigned long long>(each.current), static_cast<unsigned long long>(each.dropped),
-                  static_cast<unsigned long long>(each.skipped), each.hint ? "true" : "false", json_text(remark).c_str());
+      std::printf(
+          "%s{\"segment\":%llu,\"format\":%u,\"bytes\":%llu,\"records\":%llu,\"current\":%llu,\"dropped\":%"
+          "llu,"
+          "\"skipped\":%llu,\"hint\":%s,\"remark\":%s}",
+          std::exchange(first, false) ? "" : ",", static_cast<unsigned long long>(each.number), each.version,
+          static_cast<unsigned long long>(each.bytes), static_cast<unsigned long long>(each.records),
+          static_cast<unsigned long long>(each.current), static_cast<unsigned long long>(each.dropped),
+          static_cast<unsigned long long>(each.skipped), each.hint ? "true" : "false",
+          json_text(remark).c_str());
     } else {
-      std::printf("%-16s %7u %12llu %10llu %10llu %8llu %8llu %5s  %s\n", segment_name(each.number).c_str(), each.version,
-                  static_cast<unsigned long long>(each.bytes), static_cast<unsigned long long>(each.records),
-                  static_cast<unsigned long long>(each.current), static_cast<unsigned long long>(each.dropped),
+      std::printf("%-16s %7u %12llu %10llu %10llu %8llu %8llu %5s  %s\n", segment_name(each.number).c_str(),
+                  each.version, static_cast<unsigned long long>(each.bytes),
+                  static_cast<unsigned long long>(each.records),
+                  static_cast<unsigned long long>(each.current),
+                  static_cast<unsigned long long>(each.dropped),
                   static_cast<unsigned long long>(each.skipped), each.hint ? "yes" : "no", remark);
     }
   }
@@ -102,7 +113,8 @@
   auto column = [&](const char* name, hid_t on_disk, hid_t in_memory, const void* data) {
     hid_t space = H5Screate_simple(1, &count, nullptr);
     hid_t set = H5Dcreate2(file, name, on_disk, space, H5P_DEFAULT, H5P_DEFAULT, H5P_DEFAULT);
-    good = good && set >= 0 && (count == 0 || H5Dwrite(set, in_memory, H5S_ALL, H5S_ALL, H5P_DEFAULT, data) >= 0);
+    good = good && set >= 0 &&
+           (count == 0 || H5Dwrite(set, in_memory, H5S_ALL, H5S_ALL, H5P_DEFAULT, data) >= 0);
     if (set >= 0) H5Dclose(set);
     H5Sclose(space);
   };
@@ -114,6 +126,7 @@
   hid_t bytes = H5Tvlen_create(H5T_NATIVE_UCHAR);
   auto of_bytes = [&](const char* name, const std::vector<std::string>& texts) {
     std::vector<hvl_t> cells;
+    cells.reserve(texts.size());
     for (const std::string& text : texts) cells.push_back({text.size(), const_cast<char*>(text.data())});
     column(name, bytes, bytes, cells.data());
   };
@@ -130,7 +143,8 @@
     if (hdf5.empty()) {
       std::printf("{\"sequence\":%llu,\"at_ns\":%lld,\"window_ns\":%lld,\"key\":%s,\"value\":%s}\n",
                   static_cast<unsigned long long>(record.sequence), static_cast<long long>(record.at),
-                  static_cast<long long>(record.window), json_text(record.key).c_str(), json_text(record.value).c_str());
+                  static_cast<long long>(record.window), json_text(record.key).c_str(),
+                  json_text(record.value).c_str());
       return;
     }
     columns.sequence.push_back(record.sequence);
@@ -148,9 +162,7 @@
   return 0;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   CLI::App app("Looks into a store's folder");
   app.require_subcommand(1);
   std::string folder;
@@ -174,13 +186,19 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : kUsage;
   }
+  FileDisk disk(folder);
+  if (compacting->parsed()) return compact(disk, as_json);
+  if (dumping->parsed()) return dump(disk, hdf5);
+  Survey found = survey(disk);
+  print(found, as_json);
+  return verifying->parsed() && found.damaged() ? kDamaged : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   try {
-    FileDisk disk(folder);
-    if (compacting->parsed()) return compact(disk, as_json);
-    if (dumping->parsed()) return dump(disk, hdf5);
-    Survey found = survey(disk);
-    print(found, as_json);
-    return verifying->parsed() && found.damaged() ? kDamaged : 0;
+    return run(argc, argv);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "myrtlecroft-store: %s\n", error.what());
     return kDamaged;
