--- a/src/launch.cpp
+++ b/src/launch.cpp
@@ -46,7 +46,8 @@
   return seed;
 }
 
-// FNV-1a. Two texts of one digest would be taken for the same, which only leaves out a line for the operators.
+// FNV-1a. Two texts of one digest would be taken for the same, which only leaves out a line for the
+// operators.
 std::uint64_t digest(std::string_view text) {
   std::uint64_t out = 0xcbf29ce484222325;
   for (char byte : text) out = (out ^ static_cast<std::uint8_t>(byte)) * 0x100000001b3;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,8 +11,8 @@
 #include <string>
 #include <utility>
 
-#include "fencing/fence.h"
 #include "arguments.h"
+#include "fencing/fence.h"
 #include "launch.h"
 #include "net/database.h"
 #include "net/descriptors.h"
--- a/src/report/frames.h
+++ b/src/report/frames.h
@@ -43,7 +43,7 @@
   bool leaving = false;
   bool engine_up = false;
   bool obeys = false;        // it takes orders on this connection
-  fencing::Epoch epoch;    // of the order that it acts on; none yet: zeros
+  fencing::Epoch epoch;      // of the order that it acts on; none yet: zeros
   std::uint8_t version = 0;  // that it was started in, by who started it
   std::uint32_t window = 0;  // positions
   double limit = 0;          // running exchanges
