A quiet beat of a leader follows what proxies say, not how many there are

Ten times a second a leader built the book of all proxies anew, looked each up in each instance's words (twice), collected their names and compared them with the agreed ones by look-ups; and each decision, however small, was tried on a copy of the state with the whole picture in it. Now words that say the same as before only count as said again, the least applied and the names are found again only after another word, a change of the agreed proxies or one instance's words growing old, the names are compared in one walk, and copies share the picture.

--- a/src/agreement/draft.cpp
+++ b/src/agreement/draft.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "control/saved_state.h"
 
@@ -53,9 +54,8 @@
 }
 
 void draft_nodes(const State& agreed, const Leading& leading, Decision& out) {
-  std::set<std::string> there;
-  for (const routing::Member& member : leading.router->members().all()) {
-    there.insert(member.node.name);
+  const routing::Members& members = leading.router->members();
+  for (const routing::Member& member : members.all()) {
     auto known = agreed.nodes().find(member.node.name);
     const char* state = routing::name_of(member.state);
     bool same = known != agreed.nodes().end() && known->second.state() == state &&
@@ -68,25 +68,71 @@
                               leading.format < kOutingsFormat ? 0 : member.version});
   }
   for (const auto& [name, node] : agreed.nodes()) {
-    if (!there.contains(name)) out.add_nodes_gone(name);
+    if (!members.member(name)) out.add_nodes_gone(name);
   }
 }
 
+// Both are in order, and walked through once.
+void draft_proxies(const State& agreed, const std::set<std::string>& here, Decision& out) {
+  auto known = agreed.proxies().begin();
+  const auto end = agreed.proxies().end();
+  auto pass = [&] {
+    if (known->second == kHere) out.add_proxies_gone(known->first);
+    ++known;
+  };
+  for (const std::string& id : here) {
+    while (known != end && known->first < id) pass();
+    bool same = known != end && known->first == id;
+    if (!same || known->second != kHere) out.add_proxies_here(id);
+    if (same) ++known;
+  }
+  while (known != end) pass();
+}
+
+bool say_the_same(const google::protobuf::RepeatedPtrField<consensus::ProxyWord>& one,
+                  const google::protobuf::RepeatedPtrField<consensus::ProxyWord>& other) {
+  return std::equal(one.begin(), one.end(), other.begin(), other.end(),
+                    [](const consensus::ProxyWord& left, const consensus::ProxyWord& right) {
+                      return left.id() == right.id() && left.applied() == right.applied() &&
+                             left.here() == right.here();
+                    });
+}
+
 }  // namespace
 
 void ProxyBook::told(consensus::InstanceId by,
                      const google::protobuf::RepeatedPtrField<consensus::ProxyWord>& proxies, Nanos now) {
-  Told next{.at = now, .proxies = {}};
+  auto before = by_instance_.find(by);
+  if (before != by_instance_.end() && say_the_same(before->second.words, proxies)) return told_again(by, now);
+  ++revision_;
+  Told next{.at = now, .words = proxies, .proxies = {}};
   for (const consensus::ProxyWord& proxy : proxies) next.proxies[proxy.id()] = proxy;
-  for (const auto& [id, before] : by_instance_[by].proxies) {
+  for (const auto& [id, was] : by_instance_[by].proxies) {
     auto found = next.proxies.find(id);
-    if (before.here() && (found == next.proxies.end() || !found->second.here())) last_[id] = before.applied();
+    if (was.here() && (found == next.proxies.end() || !found->second.here())) last_[id] = was.applied();
   }
   by_instance_[by] = std::move(next);
 }
 
-std::uint64_t ProxyBook::applied_by_all(const State& agreed, Nanos now) const {
-  std::uint64_t out = agreed.published();
+ProxyBook::Basis ProxyBook::basis(const State& agreed, Nanos now) const {
+  Basis out{.revision = revision_, .proxies_epoch = agreed.proxies_epoch(), .fresh = {}};
+  for (const auto& [instance, told] : by_instance_) {
+    if (now - told.at <= fresh_for_) out.fresh.push_back(instance);
+  }
+  return out;
+}
+
+std::uint64_t ProxyBook::applied_by_all(const State& agreed, Nanos now) {
+  Basis of = basis(agreed, now);
+  if (of != least_of_) {
+    least_ = least_applied(agreed, now);
+    least_of_ = std::move(of);
+  }
+  return std::min(agreed.published(), least_);
+}
+
+std::uint64_t ProxyBook::least_applied(const State& agreed, Nanos now) const {
+  std::uint64_t out = std::numeric_limits<std::uint64_t>::max();
   for (const auto& [id, gone] : agreed.proxies()) {
     // The least that those say who have it; of fresh words, else of old ones.
     std::optional<std::uint64_t> fresh;
@@ -104,14 +150,16 @@
   return out;
 }
 
-std::set<std::string> ProxyBook::here() const {
-  std::set<std::string> out;
+const std::set<std::string>& ProxyBook::here() {
+  if (here_of_ == revision_) return here_;
+  here_of_ = revision_;
+  here_.clear();
   for (const auto& [instance, told] : by_instance_) {
     for (const auto& [id, proxy] : told.proxies) {
-      if (proxy.here()) out.insert(id);
+      if (proxy.here()) here_.insert(id);
     }
   }
-  return out;
+  return here_;
 }
 
 Decision draft(const State& agreed, const Leading& leading) {
@@ -130,14 +178,7 @@
     *out.mutable_picture() = control::to_proto(leading.next->snapshot);
     out.mutable_picture()->set_number(leading.next->number);
   }
-  std::set<std::string> here = leading.proxies->here();
-  for (const std::string& id : here) {
-    auto known = agreed.proxies().find(id);
-    if (known == agreed.proxies().end() || known->second != kHere) out.add_proxies_here(id);
-  }
-  for (const auto& [id, gone] : agreed.proxies()) {
-    if (gone == kHere && !here.contains(id)) out.add_proxies_gone(id);
-  }
+  draft_proxies(agreed, leading.proxies->here(), out);
   for (const auto& [id, said] : leading.instances) {
     auto known = agreed.instances().find(id);
     if (known != agreed.instances().end() && known->second == said) continue;
--- a/src/agreement/draft.h
+++ b/src/agreement/draft.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "agreement/state.h"
 #include "consensus/member.h"
@@ -27,27 +28,48 @@
             Nanos now);
   // It says the same as before.
   void told_again(consensus::InstanceId by, Nanos now) { by_instance_[by].at = now; }
-  void gone(consensus::InstanceId one) { by_instance_.erase(one); }
+  void gone(consensus::InstanceId one) {
+    by_instance_.erase(one);
+    ++revision_;
+  }
 
   // The publication that every proxy of the agreed list has applied, or a later one; of one that is not known
   // to be anywhere, the last that it was known to have.
-  std::uint64_t applied_by_all(const State& agreed, Nanos now) const;
-  std::set<std::string> here() const;
+  std::uint64_t applied_by_all(const State& agreed, Nanos now);
+  const std::set<std::string>& here();
 
  private:
+  using Words = google::protobuf::RepeatedPtrField<consensus::ProxyWord>;
   struct Told {
     Nanos at = 0;
+    Words words;  // as they came
     std::map<std::string, consensus::ProxyWord> proxies;
   };
+  // What the least of all proxies was found from: it is the same for as long as this is.
+  struct Basis {
+    std::uint64_t revision = 0;
+    Epoch proxies_epoch;
+    std::vector<consensus::InstanceId> fresh;  // those whose words count before older ones
+
+    bool operator==(const Basis&) const = default;
+  };
+  Basis basis(const State& agreed, Nanos now) const;
+  std::uint64_t least_applied(const State& agreed, Nanos now) const;
+
   Nanos fresh_for_;
   std::map<consensus::InstanceId, Told> by_instance_;
   std::map<std::string, std::uint64_t> last_;  // applied, of those who left
+  std::uint64_t revision_ = 1;                 // grows with each word that says something else than before
+  Basis least_of_;
+  std::uint64_t least_ = 0;
+  std::uint64_t here_of_ = 0;  // the revision that `here_` is of
+  std::set<std::string> here_;
 };
 
 struct Leading {
   const routing::Router* router = nullptr;
   const routing::Published* next = nullptr;  // where the picture changed
-  const ProxyBook* proxies = nullptr;
+  ProxyBook* proxies = nullptr;
   std::map<std::uint64_t, AgreedInstance> instances;  // as they say
   std::set<std::uint64_t> members;                    // who belongs
   std::uint64_t applied = 0;                          // by all proxies, as the router was told
--- a/src/agreement/instance.h
+++ b/src/agreement/instance.h
@@ -86,7 +86,7 @@
   bool may_serve(const std::string& proxy) const;
   Order order_for(const std::string& node);
   bool decides() const { return leading_; }
-  std::uint64_t applied_by_all() const { return book_.applied_by_all(state_, now()); }
+  std::uint64_t applied_by_all() { return book_.applied_by_all(state_, now()); }
   // What another instance said last of itself.
   struct Said {
     std::uint64_t applied = 0;
--- a/src/agreement/state.cpp
+++ b/src/agreement/state.cpp
@@ -89,17 +89,17 @@
     if (Verdict verdict = step_shard(step, decision); verdict != Verdict::kTaken) return verdict;
   }
   if (decision.has_picture()) {
-    if (decision.picture().number() != picture_.number() + 1) return Verdict::kPicture;
+    if (decision.picture().number() != picture_->number() + 1) return Verdict::kPicture;
     if (!shows_what_is_agreed(decision.picture())) return Verdict::kPicture;
-    picture_ = decision.picture();
+    picture_ = std::make_shared<const control::Snapshot>(decision.picture());
   }
   // What is closed in what is served from now on is closed in this publication.
   for (std::size_t at = 0; at < shards_.size(); ++at) {
     Shard& shard = shards_[at];
-    bool shown = at < static_cast<std::size_t>(picture_.shards_size());
+    bool shown = at < static_cast<std::size_t>(picture_->shards_size());
     if (shard.state == ShardState::kClosing && shard.closed_in == 0 && shown &&
-        picture_.shards(static_cast<int>(at)) == routing::kClosed) {
-      shard.closed_in = picture_.number();
+        picture_->shards(static_cast<int>(at)) == routing::kClosed) {
+      shard.closed_in = picture_->number();
     }
   }
 
@@ -117,7 +117,7 @@
     proxies_epoch_ = epoch_;
 
   if (Outings::says_something(decision) && decision.format() < kOutingsFormat) return Verdict::kOutings;
-  if (!outings_.apply(decision, {nodes_, picture_, decision.applied(), time_, epoch_.number})) return Verdict::kOutings;
+  if (!outings_.apply(decision, {nodes_, *picture_, decision.applied(), time_, epoch_.number})) return Verdict::kOutings;
   if (outings_.orders_changed()) owners_epoch_ = epoch_;
   for (const InstanceWord& one : decision.instances()) instances_[one.id()] = {one.format(), one.settings()};
   for (std::uint64_t id : decision.instances_gone()) instances_.erase(id);
@@ -199,7 +199,7 @@
     to.set_closed_in(shard.closed_in);
     to.set_moves(shard.moves);
   }
-  *out.mutable_picture() = picture_;
+  *out.mutable_picture() = *picture_;
   for (const auto& [id, gone] : proxies_) {
     out.add_proxies()->set_id(id);
     out.mutable_proxies()->rbegin()->set_gone_since_ns(gone);
@@ -235,7 +235,7 @@
                            .closed_in = shard.closed_in(),
                            .moves = shard.moves()});
   }
-  out.picture_ = in.picture();
+  out.picture_ = std::make_shared<const control::Snapshot>(in.picture());
   for (const ProxyState& proxy : in.proxies()) out.proxies_[proxy.id()] = proxy.gone_since_ns();
   if (!out.outings_.restore(in.outings())) return false;
   for (const InstanceWord& one : in.instances()) out.instances_[one.id()] = {one.format(), one.settings()};
--- a/src/agreement/state.h
+++ b/src/agreement/state.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,8 +67,8 @@
   Nanos forget_proxies() const { return forget_proxies_; }
   const std::vector<routing::Shard>& shards() const { return shards_; }
   std::size_t closed() const;  // shards that nobody may run
-  const control::Snapshot& picture() const { return picture_; }
-  std::uint64_t published() const { return picture_.number(); }
+  const control::Snapshot& picture() const { return *picture_; }
+  std::uint64_t published() const { return picture_->number(); }
   const std::map<std::string, control::NodeMemory>& nodes() const { return nodes_; }
   const std::map<std::string, Nanos>& proxies() const { return proxies_; }  // since when gone, or kHere
   Epoch proxies_epoch() const { return proxies_epoch_; }  // the last that changed proxies(), or a later one
@@ -91,7 +92,8 @@
   Nanos forget_proxies_ = 0;
   std::map<std::string, control::NodeMemory> nodes_;
   std::vector<routing::Shard> shards_;
-  control::Snapshot picture_;
+  // Shared: a decision is tried on a copy of the state, and most leave the picture as it is.
+  std::shared_ptr<const control::Snapshot> picture_ = std::make_shared<const control::Snapshot>();
   std::map<std::string, Nanos> proxies_;
   Epoch proxies_epoch_;
   Outings outings_;
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -273,6 +273,58 @@
   EXPECT_EQ(book.applied_by_all(state, 3600 * kSecond), 0u);
 }
 
+TEST_F(BookStory, WhatChangesAfterALookIsSeenInTheNext) {
+  told(1, 1, 0);
+  EXPECT_EQ(book.applied_by_all(state, 0), 1u);
+  EXPECT_EQ(book.here(), (std::set<std::string>{"p"}));
+  told(2, 0, 100 * kMs);
+  EXPECT_EQ(book.applied_by_all(state, 100 * kMs), 0u) << "another word";
+  told(1, 1, 1050 * kMs);
+  EXPECT_EQ(book.applied_by_all(state, 1200 * kMs), 1u) << "the same word again, while the other has grown old";
+  book.told_again(2, 1300 * kMs);
+  EXPECT_EQ(book.applied_by_all(state, 1300 * kMs), 0u) << "and is said again";
+  book.told(1, {}, 1400 * kMs);
+  book.told(2, {}, 1400 * kMs);
+  EXPECT_EQ(book.applied_by_all(state, 1400 * kMs), 0u) << "the last that it had where it was last";
+  EXPECT_TRUE(book.here().empty());
+  Decision gone;
+  gone.set_format(kFormat);
+  gone.set_term(state.epoch().term);
+  gone.set_basis(state.epoch().number);
+  gone.set_forget_proxies_ns(1);
+  gone.set_elapsed_ns(kMs);
+  gone.add_proxies_gone("p");
+  ASSERT_EQ(state.apply(gone), Verdict::kTaken);
+  gone.set_basis(state.epoch().number);
+  gone.clear_proxies_gone();
+  ASSERT_EQ(state.apply(gone), Verdict::kTaken);
+  EXPECT_EQ(book.applied_by_all(state, 1400 * kMs), state.published()) << "forgotten by agreement";
+}
+
+TEST_F(BookStory, ADraftNamesJustTheProxiesThatCameOrWent) {
+  Decision more;
+  more.set_format(kFormat);
+  more.set_term(state.epoch().term);
+  more.set_basis(state.epoch().number);
+  for (const char* id : {"a", "q", "z"}) more.add_proxies_here(id);
+  ASSERT_EQ(state.apply(more), Verdict::kTaken);
+  google::protobuf::RepeatedPtrField<consensus::ProxyWord> words;
+  for (const char* id : {"b", "p", "z", "zz"}) {
+    words.Add()->set_id(id);
+    words.rbegin()->set_here(true);
+  }
+  book.told(1, words, 0);
+  fleet::Fleet fleet;
+  routing::Router router(fleet, std::nullopt, true, 0, [](const std::string&) {});
+  Leading leading;
+  leading.router = &router;
+  leading.proxies = &book;
+  Decision drawn = draft(state, leading);
+  auto list = [](const auto& ids) { return std::vector<std::string>(ids.begin(), ids.end()); };
+  EXPECT_EQ(list(drawn.proxies_here()), (std::vector<std::string>{"b", "zz"}));
+  EXPECT_EQ(list(drawn.proxies_gone()), (std::vector<std::string>{"a", "q"}));
+}
+
 // A few seeds of what `make measure-agreement_sim` plays by the thousand.
 TEST(WorldStory, NothingIsDecidedTwiceWhateverFails) {
   for (std::uint32_t seed = 1; seed <= 16; ++seed) {
