Tests of groups in another order and of members by address; the new files as formatted

Places of a report's groups are found again after a fleet file: with that left out the new test fails. A member is found by where it listens only after the file in force.

--- a/src/agreement/instance.h
+++ b/src/agreement/instance.h
@@ -156,8 +156,9 @@
   std::uint64_t kept_ = 0;
   bool changing_ = false;  // who belongs
   google::protobuf::RepeatedPtrField<consensus::ProxyWord> here_;
-  std::unordered_map<std::string, std::vector<std::uint16_t>> owned_;  // by each node, as agreed; only looked up
-  Epoch owned_at_;                                                     // the decision that `owned_` is of
+  std::unordered_map<std::string, std::vector<std::uint16_t>>
+      owned_;             // by each node, as agreed; only looked up
+  Epoch owned_at_;        // the decision that `owned_` is of
   Nanos applied_at_ = 0;  // when the last decision was applied here
   Nanos due_at_ = 0;
   Nanos said_at_ = 0;
--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -168,9 +168,8 @@
     return matches(question, node.zone(), node.health(), node.name());
   });
   bool of_nodes = !question.zone.empty() || !question.state.empty();
-  keep_page(*snapshot.mutable_groups(), pager, [&](const GroupRoute& group) {
-    return !of_nodes && group.name().starts_with(question.name);
-  });
+  keep_page(*snapshot.mutable_groups(), pager,
+            [&](const GroupRoute& group) { return !of_nodes && group.name().starts_with(question.name); });
 }
 
 // Budgets, then nodes that are out or chosen to be, held empty, or failed.
@@ -227,7 +226,8 @@
   words >> word >> id >> address;
   if (word == "let-in" && id > 0 && !address.empty()) return agreed_->instance().let_in(id, address);
   if (word == "let-out" && id > 0) return agreed_->instance().let_out(id);
-  if (word != "hand-on") return "unknown question; there are nodes, proxies, snapshot, instances, outings and release status";
+  if (word != "hand-on")
+    return "unknown question; there are nodes, proxies, snapshot, instances, outings and release status";
   if (!agreed_->instance().member().leads()) return "this instance does not lead";
   agreed_->hand_on([] {});
   return "";
--- a/src/control/answers.h
+++ b/src/control/answers.h
@@ -1,5 +1,5 @@
-// Answers to operators' questions about what a running control service knows and serves. Only looks, but for the
-// changes of who belongs to the instances.
+// Answers to operators' questions about what a running control service knows and serves. Only looks, but for
+// the changes of who belongs to the instances.
 #pragma once
 
 #include <cstdint>
--- a/src/control/ask.h
+++ b/src/control/ask.h
@@ -9,8 +9,8 @@
 
 namespace myrtlecroft::control {
 
-// A question as src/control/question.h reads it, or a command. Throws std::runtime_error where no whole answer comes within some
-// seconds.
+// A question as src/control/question.h reads it, or a command. Throws std::runtime_error where no whole
+// answer comes within some seconds.
 AdminAnswer ask(const sockaddr_in& admin, const std::string& question);
 
 }  // namespace myrtlecroft::control
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -96,7 +96,7 @@
   std::map<std::string, std::string> told_;            // node -> why its reports are refused, as logged last
   std::shared_ptr<const routing::Published> waiting_;  // decided, not yet kept on disk
   std::shared_ptr<const xds::ResourceSet> served_;
-  std::shared_ptr<const xds::ResourceSet> closed_;  // the same without an open shard
+  std::shared_ptr<const xds::ResourceSet> closed_;     // the same without an open shard
   std::string kept_;                                   // as it is on disk
   std::string keeping_;                                // on its way there
   std::shared_ptr<const routing::Published> covered_;  // is known again from what is on its way
@@ -104,8 +104,8 @@
   Nanos tried_at_ = 0;
   Nanos trimmed_at_ = 0;
   std::uint64_t applied_ = 0;
-  std::optional<std::uint64_t> heard_changes_;   // of the proxies, when they were last looked at
-  std::optional<agreement::Epoch> gated_at_;  // when who may be served was last told
+  std::optional<std::uint64_t> heard_changes_;  // of the proxies, when they were last looked at
+  std::optional<agreement::Epoch> gated_at_;    // when who may be served was last told
 };
 
 }  // namespace myrtlecroft::control
--- a/src/control/operators.cpp
+++ b/src/control/operators.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t kLargestAnswer = std::size_t{240} << 10;  // bytes
-constexpr Nanos kLongestCommand = 4000 * kMs;  // shorter than a caller waits
+constexpr Nanos kLongestCommand = 4000 * kMs;                   // shorter than a caller waits
 
 double seconds(Nanos time) { return static_cast<double>(time) / static_cast<double>(kSecond); }
 
--- a/src/control/pager.h
+++ b/src/control/pager.h
@@ -1,5 +1,5 @@
-// Which of many rows stand on one page of an answer. A page is full by rows or by bytes, so that each page can be
-// written whole, however long its rows are.
+// Which of many rows stand on one page of an answer. A page is full by rows or by bytes, so that each page
+// can be written whole, however long its rows are.
 #pragma once
 
 #include <cstddef>
@@ -29,7 +29,7 @@
     return true;
   }
 
-  std::size_t rows() const { return rows_; }    // that there are, on all pages
+  std::size_t rows() const { return rows_; }  // that there are, on all pages
   std::size_t pages() const { return pages_; }
   std::size_t shown() const { return shown_; }  // on the wanted page
   std::size_t first() const { return first_; }  // of these, counted from 1; 0: none
--- a/src/routing/members.h
+++ b/src/routing/members.h
@@ -59,13 +59,13 @@
 struct Member {
   fleet::Node node;
   State state = State::kPresumed;
-  Nanos since = 0;       // in this state
-  bool kept_in = false;  // should be out, but too much of the fleet would be
+  Nanos since = 0;          // in this state
+  bool kept_in = false;     // should be out, but too much of the fleet would be
   bool called_out = false;  // by agreement: it gets nothing new
   bool connected = false;
-  Nanos heard_at = 0;      // 0 = not since we started
-  std::uint64_t life = 0;  // 0 = not known
-  Nanos lost_keys_at = 0;  // when another life was first seen; 0 = never
+  Nanos heard_at = 0;         // 0 = not since we started
+  std::uint64_t life = 0;     // 0 = not known
+  Nanos lost_keys_at = 0;     // when another life was first seen; 0 = never
   std::uint32_t version = 0;  // that it runs, as it said last
   report::NodeReport report{};
   std::vector<GroupShare> group_shares{};  // of the report's groups, in their order
@@ -76,7 +76,7 @@
   DecayingSum in_time{kWindow};  // of these, within the SLO time
   DecayingSum asked{kWindow};    // running and held, in each report
   DecayingSum reports{kWindow};  // how many
-  Nanos moved_at = 0;  // an answer was last seen, or nothing was unanswered
+  Nanos moved_at = 0;            // an answer was last seen, or nothing was unanswered
   // From proxies.
   DecayingSum issued{kWindow};
   DecayingSum succeeded{kWindow};
@@ -202,9 +202,9 @@
   fleet::Bounds bounds_;
   Nanos longest_slo_ = 0;
   std::vector<Member> members_;
-  std::unordered_map<std::string, int> places_;  // only looked up: its order says nothing
+  std::unordered_map<std::string, int> places_;             // only looked up: its order says nothing
   std::unordered_map<std::string, int> places_by_address_;  // the same
-  std::unordered_map<std::string, int> groups_;  // the same, of the fleet's groups
+  std::unordered_map<std::string, int> groups_;             // the same, of the fleet's groups
   std::uint64_t layout_ = 0;
   double capacity_ = 0;  // of all, and of those that are out; kept up within a step
   double out_ = 0;
--- a/src/routing/rendezvous.cpp
+++ b/src/routing/rendezvous.cpp
@@ -12,7 +12,8 @@
 constexpr double kDraws = 9007199254740992.0;  // 2^53
 constexpr double kRounding = 1e-9;             // more than the arithmetic of a score is off by
 
-// In (0, 1), from the server's name and the shard alone, so that every instance and every restart draws the same.
+// In (0, 1), from the server's name and the shard alone, so that every instance and every restart draws the
+// same.
 double draw_of(const std::string& name, std::size_t shard) {
   std::uint64_t hash = XXH3_64bits_withSeed(name.data(), name.size(), shard);
   return (static_cast<double>(hash >> 11) + 0.5) / kDraws;
@@ -32,8 +33,8 @@
           .competes = member.in_service() && !member.kept_in};
 }
 
-// Another fleet file moves members to other places: winners keep their shards, and those who are gone compete no
-// more.
+// Another fleet file moves members to other places: winners keep their shards, and those who are gone compete
+// no more.
 void Rendezvous::follow_layout(const Members& members) {
   std::vector<int> places(candidates_.size(), kNobody);
   std::vector<Candidate> next(members.all().size());
--- a/src/routing/rendezvous.h
+++ b/src/routing/rendezvous.h
@@ -1,8 +1,9 @@
-// Weighted rendezvous hashing of the shards over the servers that may own them, kept up to date by what changes.
+// Weighted rendezvous hashing of the shards over the servers that may own them, kept up to date by what
+// changes.
 //
-// Each server draws a score for each shard, and the highest score wins it; servers of a higher priority number
-// compete only where there are no others. A server that leaves redraws only the shards that it had won, and one
-// that joins competes once for each shard. No I/O.
+// Each server draws a score for each shard, and the highest score wins it; servers of a higher priority
+// number compete only where there are no others. A server that leaves redraws only the shards that it had
+// won, and one that joins competes once for each shard. No I/O.
 #pragma once
 
 #include <cstddef>
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -63,8 +63,8 @@
   // `agreed_now` is the time that windows of closed shards are counted in, where instances agree on one.
   std::shared_ptr<const Published> step(Nanos now, Nanos agreed_now);
   std::shared_ptr<const Published> step(Nanos now) { return step(now, now); }
-  // A closed shard cools for at least so long, however short the groups' windows are, and by so much longer than they
-  // are: what a clock may be wrong by.
+  // A closed shard cools for at least so long, however short the groups' windows are, and by so much longer
+  // than they are: what a clock may be wrong by.
   void cool_at_least(Nanos least, Nanos longer) {
     least_window_ = least;
     longer_window_ = longer;
@@ -76,7 +76,8 @@
   }
   // The same without deciding: another instance does. What is heard is kept up with.
   void watch(Nanos now) { members_.step(now); }
-  // The same where nothing was agreed yet: what was concluded and came to nothing is forgotten, what was heard is not.
+  // The same where nothing was agreed yet: what was concluded and came to nothing is forgotten, what was
+  // heard is not.
   void begin_again(bool first_start);
   // From here on it decides, and goes on from what the instances have agreed on. Whom nobody has heard of
   // here yet has the place that it had. nullptr: nothing was ever published.
@@ -91,10 +92,11 @@
   const Admission& admission() const { return admission_; }
 
  private:
-  // What was served before, over the fleet file as it is, until enough nodes are heard; what keeps it from that.
+  // What was served before, over the fleet file as it is, until enough nodes are heard; what keeps it from
+  // that.
   std::string show_again(Snapshot snapshot);
-  // Whether picture() would draw what is published already: told without drawing it, as most steps change nothing.
-  // Looks at all that picture() draws from.
+  // Whether picture() would draw what is published already: told without drawing it, as most steps change
+  // nothing. Looks at all that picture() draws from.
   bool shows_what_is_published() const;
   Snapshot picture() const;
   std::shared_ptr<const Published> publish(Snapshot next, Nanos now);
@@ -109,7 +111,7 @@
   Admission admission_;
   std::uint64_t applied_ = 0;
   std::shared_ptr<const Published> published_;
-  std::uint64_t drawn_layout_ = 0;           // of the members, when `published_` was drawn here; 0: it was not
+  std::uint64_t drawn_layout_ = 0;  // of the members, when `published_` was drawn here; 0: it was not
   std::vector<std::uint32_t> drawn_admitted_;  // what was admitted then
   std::optional<Snapshot> restored_;
   bool restored_shown_ = false;  // `published_` is `restored_`
--- a/src/routing/shards.h
+++ b/src/routing/shards.h
@@ -90,8 +90,8 @@
   Rendezvous winners_;
   std::uint64_t layout_ = 0;  // of the members whose places `owners_` has; 0: to be found again
   Nanos now_ = 0;
-  std::size_t moving_ = 0;        // closed to even out the load
-  int heir_place_ = kNobody;      // the winner of the shard that is looked at
+  std::size_t moving_ = 0;    // closed to even out the load
+  int heir_place_ = kNobody;  // the winner of the shard that is looked at
   const Member* heir_ = nullptr;
 };
 
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -280,7 +280,8 @@
   told(2, 0, 100 * kMs);
   EXPECT_EQ(book.applied_by_all(state, 100 * kMs), 0u) << "another word";
   told(1, 1, 1050 * kMs);
-  EXPECT_EQ(book.applied_by_all(state, 1200 * kMs), 1u) << "the same word again, while the other has grown old";
+  EXPECT_EQ(book.applied_by_all(state, 1200 * kMs), 1u)
+      << "the same word again, while the other has grown old";
   book.told_again(2, 1300 * kMs);
   EXPECT_EQ(book.applied_by_all(state, 1300 * kMs), 0u) << "and is said again";
   book.told(1, {}, 1400 * kMs);
--- a/tests/control_size_test.cpp
+++ b/tests/control_size_test.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 constexpr int kServers = 6100;
-constexpr int kGroups = 20;  // each new publication lists every server once for each group: with 200, that alone holds
-                             // an answer up for seconds
+constexpr int kGroups = 20;  // each new publication lists every server once for each group: with 200, that
+                             // alone holds an answer up for seconds
 constexpr double kMostSeconds = 1;
 
 // Every third server is in zone c, the others in zone a.
@@ -29,7 +29,8 @@
   }
   std::string groups = "{ name = \"book\"; repeats = \"deduplicated\"; window_ms = 500; timeout_ms = 500; }";
   for (int i = 2; i <= kGroups; ++i) {
-    groups += ",\n{ name = \"group-" + std::to_string(i) + "\"; repeats = \"repeatable\"; timeout_ms = 500; }";
+    groups +=
+        ",\n{ name = \"group-" + std::to_string(i) + "\"; repeats = \"repeatable\"; timeout_ms = 500; }";
   }
   return "version = 1; listener = \"fleet\"; proxies = 10; nodes = (" + nodes + "); groups = (" + groups +
          "); bounds = { shard_digits = 3; };\n";
@@ -102,7 +103,8 @@
   for (std::uint32_t page = 1; page <= pages; ++page) {
     AdminAnswer answer = large.answer("snapshot page=" + std::to_string(page));
     for (const NodeRoute& node : answer.snapshot().nodes()) EXPECT_TRUE(routes.insert(node.name()).second);
-    for (const GroupRoute& group : answer.snapshot().groups()) EXPECT_TRUE(routes.insert(group.name()).second);
+    for (const GroupRoute& group : answer.snapshot().groups())
+      EXPECT_TRUE(routes.insert(group.name()).second);
     EXPECT_EQ(answer.snapshot().shards_size(), 4096);
   }
   EXPECT_EQ(routes.size(), static_cast<std::size_t>(kServers + kGroups));
--- a/tests/routing_change_test.cpp
+++ b/tests/routing_change_test.cpp
@@ -23,7 +23,8 @@
       const Member& one = members[place];
       if (!one.in_service() || one.kept_in) continue;
       std::uint64_t hash = XXH3_64bits_withSeed(one.node.name.data(), one.node.name.size(), shard);
-      double score = one.node.capacity / -std::log((static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0);
+      double score =
+          one.node.capacity / -std::log((static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0);
       int priority = out[shard] == kNobody ? 0 : members[static_cast<std::size_t>(out[shard])].node.priority;
       bool wins = out[shard] == kNobody || one.node.priority < priority ||
                   (one.node.priority == priority && score > best);
@@ -76,14 +77,15 @@
     out.nodes.push_back(node_from_nothing(member, before, fleet.proxies));
   for (std::size_t i = 0; i < fleet.groups.size(); ++i) {
     const fleet::Group& group = fleet.groups[i];
-    GroupRoute route{group.name, group.path, group.effect, group.key_header, group.async_timeout,
-                     repeat_rule(group, fleet.bounds)};
+    GroupRoute route{group.name,       group.path,          group.effect,
+                     group.key_header, group.async_timeout, repeat_rule(group, fleet.bounds)};
     if (i < router.admission().admitted().size()) route.admitted = router.admission().admitted()[i];
     route.stay_away = group.slo_time / 4;
     out.groups.push_back(route);
   }
   for (const fleet::Customer& customer : fleet.customers)
-    out.customers.push_back({customer.name, static_cast<std::uint32_t>(std::lround(customer.share * 10'000))});
+    out.customers.push_back(
+        {customer.name, static_cast<std::uint32_t>(std::lround(customer.share * 10'000))});
   for (const Shard& shard : router.shards().all()) {
     int owner = kClosed;
     for (std::size_t place = 0; place < out.nodes.size(); ++place) {
@@ -208,5 +210,36 @@
   }
 }
 
+TEST(Admission, AfterAFleetFileWithItsGroupsInAnotherOrderTheSameGroupIsShed) {
+  FleetWorld world;
+  for (auto& [name, report] : world.reports) report.groups = {{.group = "cheap"}, {.group = "read"}};
+  world.run(3 * kSecond);
+  for (const char* node : {"n1", "n2", "n3"}) world.denies[node] = 1;
+  world.run(6 * kSecond);
+  ASSERT_LT(world.router.published()->snapshot.groups[0].admitted, 9000u);
+  std::reverse(world.fleet.groups.begin(), world.fleet.groups.end());
+  world.router.fleet_changed(world.fleet, world.now);
+  world.run(kSecond);
+  const std::vector<GroupRoute>& groups = world.router.published()->snapshot.groups;
+  EXPECT_EQ(groups[3].name, "cheap");
+  EXPECT_LT(groups[3].admitted, 9000u);
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_EQ(groups[i].admitted, 10'000u) << groups[i].name;
+}
+
+TEST(Members, OneIsFoundByItsNameAndByWhereItListensAfterAnotherFleetFile) {
+  FleetWorld world;
+  std::rotate(world.fleet.nodes.begin(), world.fleet.nodes.begin() + 1, world.fleet.nodes.end());
+  world.fleet.nodes[0].port = 4999;  // n2
+  std::uint64_t layout = world.router.members().layout();
+  world.router.fleet_changed(world.fleet, world.now);
+  const Members& members = world.router.members();
+  EXPECT_NE(members.layout(), layout);
+  EXPECT_EQ(members.place_of("n1"), 2);
+  EXPECT_EQ(members.place_of("n9"), -1);
+  ASSERT_TRUE(members.member_at("127.0.0.1:4999"));
+  EXPECT_EQ(members.member_at("127.0.0.1:4999")->node.name, "n2");
+  EXPECT_EQ(members.member_at("127.0.0.1:4102"), nullptr);
+}
+
 }  // namespace
 }  // namespace myrtlecroft::routing
--- a/tests/xds_gate_test.cpp
+++ b/tests/xds_gate_test.cpp
@@ -13,8 +13,12 @@
   routing::Snapshot& snapshot = out.snapshot;
   snapshot.listener = "fleet";
   snapshot.shard_digits = 1;
-  snapshot.nodes = {{.name = "n1", .zone = "a", .host = "127.0.0.1", .port = 4101,
-                     .health = routing::Health::kHealthy, .weight = 100}};
+  snapshot.nodes = {{.name = "n1",
+                     .zone = "a",
+                     .host = "127.0.0.1",
+                     .port = 4101,
+                     .health = routing::Health::kHealthy,
+                     .weight = 100}};
   snapshot.groups = {{.name = "read", .path = "/read", .timeout = kSecond}};
   snapshot.shards.assign(16, owner);
   return make_resources(out, nullptr);
