--- a/src/agreement/state.h
+++ b/src/agreement/state.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,8 +69,8 @@
   Nanos forget_proxies() const { return forget_proxies_; }
   const std::vector<routing::Shard>& shards() const { return shards_; }
   std::size_t closed() const;  // shards that nobody may run
-  const routing_state::Snapshot& picture() const { return picture_; }
-  std::uint64_t published() const { return picture_.number(); }
+  const routing_state::Snapshot& picture() const { return *picture_; }
+  std::uint64_t published() const { return picture_->number(); }
   const std::map<std::string, routing_state::NodeMemory>& nodes() const { return nodes_; }
   const std::map<std::string, Nanos>& proxies() const { return proxies_; }  // since when gone, or kHere
   Epoch proxies_epoch() const { return proxies_epoch_; }  // the last that changed proxies(), or a later one
@@ -93,7 +94,8 @@
   Nanos forget_proxies_ = 0;
   std::map<std::string, routing_state::NodeMemory> nodes_;
   std::vector<routing::Shard> shards_;
-  routing_state::Snapshot picture_;
+  // Shared: a decision is tried on a copy of the state, and most leave the picture as it is.
+  std::shared_ptr<const routing_state::Snapshot> picture_ = std::make_shared<const routing_state::Snapshot>();
   std::map<std::string, Nanos> proxies_;
   Epoch proxies_epoch_;
   Outings outings_;
--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -227,7 +227,8 @@
   words >> word >> id >> address;
   if (word == "let-in" && id > 0 && !address.empty()) return agreed_->instance().let_in(id, address);
   if (word == "let-out" && id > 0) return agreed_->instance().let_out(id);
-  if (word != "hand-on") return "unknown question; there are nodes, proxies, snapshot, instances, outings and release status";
+  if (word != "hand-on")
+    return "unknown question; there are nodes, proxies, snapshot, instances, outings and release status";
   if (!agreed_->instance().member().leads()) return "this instance does not lead";
   agreed_->hand_on([] {});
   return "";
