--- a/src/xds/session_table.h
+++ b/src/xds/session_table.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 #include "xds/session.h"
 
@@ -42,6 +44,8 @@
     std::shared_ptr<const ResourceSet> closed;
   };
   void gate(Gate gate, Nanos now);
+  // The same proxies as in the last gate. True where a stream was offered something.
+  bool gate_stays(Nanos fresh_until, std::shared_ptr<const ResourceSet> closed, Nanos now);
   // The node is named in the first request of a stream, and may be left out of the others.
   Fault request(StreamId stream, const std::string& id, const std::string& zone, const Request& request,
                 Nanos now);
@@ -65,6 +69,7 @@
     std::string id;
     std::string zone;
     std::string peer;
+    bool asked = false;    // it has said who it is, as far as it does: before that its subsets are not known
     bool counted = false;  // it has applied something since it came
     enum class Offered { kNothing, kClosed, kWhole } offered = Offered::kNothing;  // closed: no open shard
   };
@@ -75,10 +80,21 @@
     StreamId last = 0;  // a stream that came later may be this proxy again
   };
 
-  void offer_through_gate(Stream& stream, Nanos now);
+  // In the order in which they went.
+  using GoneList = std::list<Gone>;
+
+  void offer(Stream& stream, Nanos now);
+  bool offer_through_gate(Stream& stream, Nanos now);
+  void name(Stream& stream, const std::string& id, const std::string& zone);
+  void add_gone(Gone gone);
+  GoneList::iterator erase_gone(GoneList::iterator one);
+  // The first of this id that the stream may be again; gone_.end() where there is none.
+  GoneList::iterator find_gone(const std::string& id, StreamId stream);
 
   std::map<StreamId, Stream> streams_;
-  std::vector<Gone> gone_;
+  std::unordered_map<std::string, std::size_t> streams_of_;  // how many have this id
+  GoneList gone_;
+  std::multimap<std::string, GoneList::iterator> gone_by_id_;
   std::optional<Gate> gate_;
   std::shared_ptr<const ResourceSet> set_;
   StreamId last_ = 0;
--- a/standin/node_config.h
+++ b/standin/node_config.h
@@ -19,7 +19,7 @@
   int servers = 1;
   Nanos grace = 500 * kMs;  // of a drain
   std::string groups;  // JSON objects of the settings' classes, with commas between
-  std::string tenants;  // JSON objects of the settings' tenants, with commas between; empty: no such list
+  std::string tenants = {};  // JSON objects of the settings' tenants, with commas between; empty: no such list
   std::string family;  // JSON fields of the settings' familyInfo, but for the meters
 };
 
