--- a/measure/capacity/generated_fleet.cpp
+++ b/measure/capacity/generated_fleet.cpp
@@ -51,7 +51,7 @@
     out << (service ? ",\n" : "") << "  { name = \"" << service_name(service) << "\"; repeats = \"" << kind
         << "\"; slo_ms = 250; timeout_ms = 500;";
     if (kind == "deduplicated") out << " window_ms = 1000;";
-    if (size.subsetting > 0) write_servers_of(size, service, out);
+    if (size.subsetting > 0 && kind != "deduplicated") write_servers_of(size, service, out);
     out << " }";
   }
   out << "\n);\n";
--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -77,6 +77,12 @@
   rows.Swap(&kept);
 }
 
+// They are longer than all the rest together, and would not fit into an answer; the fleet file has them.
+void leave_out_server_lists(routing_state::Snapshot& snapshot) {
+  snapshot.clear_server_lists();
+  for (routing_state::GroupRoute& group : *snapshot.mutable_groups()) group.clear_servers();
+}
+
 }  // namespace
 
 AdminAnswer Answers::any(const AnswerFacts& facts) const {
@@ -171,6 +177,7 @@
   keep_page(*snapshot.mutable_groups(), pager, [&](const routing_state::GroupRoute& group) {
     return !of_nodes && group.name().starts_with(question.name);
   });
+  leave_out_server_lists(snapshot);
 }
 
 // Budgets, then nodes that are out or chosen to be, held empty, or failed.
--- a/src/control/tables.cpp
+++ b/src/control/tables.cpp
@@ -117,9 +117,12 @@
                   node.health().c_str(), node.weight(), node.in_flight());
     }
     for (const routing_state::GroupRoute& group : snapshot.groups()) {
-      std::printf("  group %-16s admitted %.1f%%, time limit %.3f s, retries %d%s\n", group.name().c_str(),
+      std::string subsets =
+          group.subset_size() > 0 ? ", in subsets of " + std::to_string(group.subset_size()) : "";
+      std::printf("  group %-16s admitted %.1f%%, time limit %.3f s, retries %d%s%s\n", group.name().c_str(),
                   group.admitted() / 100.0, static_cast<double>(group.timeout_ns()) / 1e9,
-                  group.repeats().retries(), group.repeats().same_node() ? " at the same node" : "");
+                  group.repeats().retries(), group.repeats().same_node() ? " at the same node" : "",
+                  subsets.c_str());
     }
   }
   if (answer.rows_left_out() > 0) std::printf("%s\n", page_line(answer).c_str());
--- a/tests/control_size_test.cpp
+++ b/tests/control_size_test.cpp
@@ -36,6 +36,28 @@
          "); bounds = { shard_digits = 3; };\n";
 }
 
+// Each of these runs on neighbours of its own, and callers get a subset of them.
+std::string services_with_servers(int services, int servers) {
+  std::string out;
+  for (int service = 1; service <= services; ++service) {
+    out += "{ name = \"service-" + std::to_string(service) +
+           "\"; repeats = \"repeatable\"; timeout_ms = 500; servers = (";
+    for (int i = 0; i < servers; ++i) {
+      out += std::string(i > 0 ? ", " : "") + "\"server-" + std::to_string((service * 7 + i) % kServers + 1) +
+             "\"";
+    }
+    out += "); },\n";
+  }
+  return out;
+}
+
+std::string large_fleet_with_subsets(int services, int servers) {
+  std::string fleet = large_fleet(kServers);
+  const std::string groups = "groups = (";
+  fleet.insert(fleet.find(groups) + groups.size(), services_with_servers(services, servers));
+  return fleet + "subsetting = { size = 20; };\n";
+}
+
 int any_port() {
   int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = loopback(0);
@@ -48,8 +70,9 @@
 
 // One instance that decides with itself, so that every question has an answer.
 struct LargeControl {
-  explicit LargeControl(int servers = kServers) {
-    std::ofstream(folder.file("fleet.conf")) << large_fleet(servers);
+  explicit LargeControl(int servers = kServers) : LargeControl(large_fleet(servers)) {}
+  explicit LargeControl(const std::string& fleet) {
+    std::ofstream(folder.file("fleet.conf")) << fleet;
     std::filesystem::create_directory(folder.file("log"));
     Options options{.fleet_path = folder.file("fleet.conf"),
                     .state_folder = "",
@@ -111,6 +134,19 @@
   EXPECT_EQ(routes.size(), static_cast<std::size_t>(kServers + kGroups));
 }
 
+// The lists of servers alone were longer than an answer may be: it was refused, whichever page was asked for.
+TEST(LargeFleet, ASnapshotIsAnsweredWhereServicesNameTheirServers) {
+  constexpr int kServices = 800;
+  LargeControl large(large_fleet_with_subsets(kServices, 200));
+  ASSERT_TRUE(large.published);
+  AdminAnswer first = large.answer("snapshot");
+  EXPECT_EQ(first.error(), "");
+  EXPECT_EQ(first.rows(), static_cast<unsigned>(kServers + kServices + kGroups));
+  AdminAnswer one = large.answer("snapshot name=service-799");
+  ASSERT_EQ(one.snapshot().groups_size(), 1);
+  EXPECT_EQ(one.snapshot().groups(0).subset_size(), 20u);
+}
+
 TEST(LargeFleet, AFilterLeavesTheRowsItNames) {
   LargeControl large;
   ASSERT_TRUE(large.published);
