--- a/tests/xds_subsets_test.cpp
+++ b/tests/xds_subsets_test.cpp
@@ -241,7 +241,7 @@
  protected:
   Wires::Link link(const std::string& id) const {
     auto [delta, by_name] = GetParam();
-    return {delta, id, by_name ? std::vector<std::string>{"read", "set"} : std::vector<std::string>{}};
+    return {delta, id, by_name ? std::vector<std::string>{"read", "write"} : std::vector<std::string>{}};
   }
 };
 INSTANTIATE_TEST_SUITE_P(Xds, CallersOfSubsets, testing::Combine(testing::Bool(), testing::Bool()),
@@ -364,6 +364,120 @@
   EXPECT_EQ(wires.table.applied_by_all(kSecond, wires.now), wires.number);
 }
 
+// Instances that publish the same, and at times have no open shard for whoever is new, do not know a caller
+// yet, or start again from nothing.
+struct GatedInstances {
+  explicit GatedInstances(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) tables.push_back(std::make_unique<Wires>());
+  }
+  void publish(const routing::Snapshot& snapshot) {
+    newest = snapshot;
+    ++number;
+    for (auto& one : tables) catch_up(*one);
+  }
+  void catch_up(Wires& one) {
+    if (one.number == number) return;
+    one.number = number - 1;
+    one.publish(newest);
+  }
+  void gate(Wires& one, bool fresh, std::set<std::string> served) {
+    std::shared_ptr<const ResourceSet> closed_set;
+    if (one.set && !fresh) {
+      routing::Published closed{number, newest};
+      closed.snapshot.shards.assign(closed.snapshot.shards.size(), routing::kClosed);
+      closed_set = make_resources(closed, nullptr);
+    }
+    one.table.gate({.served = std::move(served),
+                    .fresh_until = fresh ? one.now + 3600 * kSecond : 0,
+                    .closed = closed_set},
+                   one.now);
+  }
+  std::vector<std::unique_ptr<Wires>> tables;
+  routing::Snapshot newest;
+  std::uint64_t number = 0;
+};
+
+const std::set<std::string> kAllCallers = {"p0", "p1", "p2"};
+
+TEST_P(CallersOfSubsets, ThatGoFromInstanceToInstanceEndWithTheNewestSet) {
+  std::mt19937 random(12);
+  GatedInstances instances(3);
+  std::vector<std::unique_ptr<Wires::Link>> links;
+  std::vector<Wires*> at(3);
+  for (int i = 0; i < 3; ++i) links.push_back(std::make_unique<Wires::Link>(link("p" + std::to_string(i))));
+  auto drawn = [&] {
+    routing::Snapshot snapshot = subsetted(24);
+    for (auto& node : snapshot.nodes) node.health = random() % 4 ? Health::kHealthy : Health::kOut;
+    snapshot.nodes[0].health = Health::kHealthy;
+    for (int& owner : snapshot.shards)
+      owner = random() % 4 ? static_cast<int>(random() % 24) : routing::kClosed;
+    return snapshot;
+  };
+  auto connect = [&](std::size_t i) {
+    at[i] = instances.tables[random() % instances.tables.size()].get();
+    at[i]->connect(*links[i]);
+  };
+  auto restart = [&](std::size_t which) {
+    for (std::size_t i = 0; i < links.size(); ++i) {
+      if (at[i] != instances.tables[which].get() || !links[i]->stream) continue;
+      at[i]->cut(*links[i]);
+    }
+    instances.tables[which] = std::make_unique<Wires>();
+  };
+  auto finish = [&] {
+    for (auto& one : instances.tables) {
+      instances.catch_up(*one);
+      instances.gate(*one, true, kAllCallers);
+    }
+    for (std::size_t i = 0; i < links.size(); ++i) {
+      if (!links[i]->stream) connect(i);
+      at[i]->settle(*links[i]);
+      ASSERT_EQ(links[i]->client.half_applied(), 0) << links[i]->client.half_applied_last();
+      ASSERT_TRUE(links[i]->client.applied());
+      for (const auto& view : at[i]->table.view()) {
+        if (view.stream != links[i]->stream) continue;
+        ASSERT_EQ(view.applied, instances.number) << view.id;
+      }
+    }
+  };
+  instances.publish(drawn());
+  for (int step = 0; step < 6'000; ++step) {
+    std::size_t i = random() % links.size();
+    Wires& some = *instances.tables[random() % instances.tables.size()];
+    if (at[i] && links[i]->stream) at[i]->now += kMs * 10;
+    if (step % 150 == 149) ASSERT_NO_FATAL_FAILURE(finish()) << "at step " << step;
+    switch (random() % 14) {
+      case 0:
+        if (step % 5 == 0) instances.publish(drawn());
+        break;
+      case 1:
+        if (random() % 10 == 0 && links[i]->stream) at[i]->cut(*links[i]);
+        if (!links[i]->stream) connect(i);
+        break;
+      case 2:
+        instances.gate(some, random() % 2, random() % 2 ? kAllCallers : std::set<std::string>{"p0"});
+        break;
+      case 3:
+        if (random() % 20 == 0) restart(random() % 3);
+        break;
+      case 4:
+        if (some.set || random() % 4 == 0) instances.catch_up(some);
+        break;
+      case 5:
+      case 6:
+      case 7:
+        if (links[i]->stream) at[i]->move_up(*links[i]);
+        break;
+      case 8:
+      case 9:
+        if (links[i]->stream) at[i]->write(*links[i]);
+        break;
+      default:
+        if (links[i]->stream) at[i]->move_down(*links[i]);
+    }
+  }
+}
+
 TEST(CallersByName, GetOnlyWhatTheyAskFor) {
   Wires wires;
   Wires::Link near(true, "p1", {"near"});
