Changes touch a caller at any size; reports are measured once nothing moves any more

The servers that change are some that a caller has: with subsets and few callers a change otherwise touched nobody.

--- a/measure/capacity/change_watch.cpp
+++ b/measure/capacity/change_watch.cpp
@@ -115,4 +115,12 @@
   return out;
 }
 
+ServerSet ChangeWatch::servers_of_first() const {
+  std::lock_guard lock(mutex_);
+  ServerSet out;
+  if (callers_.empty()) return out;
+  for (const auto& cluster : callers_.begin()->second.clusters) out = joined(out, *cluster);
+  return out;
+}
+
 }  // namespace myrtlecroft::capacity
--- a/measure/capacity/change_watch.h
+++ b/measure/capacity/change_watch.h
@@ -34,6 +34,7 @@
   // Callers whose set is now not as expected.
   std::uint32_t stale() const;
   std::uint64_t endpoints_held() const;
+  ServerSet servers_of_first() const;  // of the caller with the lowest number
 
  private:
   struct Caller {
--- a/measure/capacity/measure_capacity_real.cpp
+++ b/measure/capacity/measure_capacity_real.cpp
@@ -24,7 +24,7 @@
 
 constexpr int kReportsForMs = 4000;
 constexpr int kRack = 40;
-constexpr int kSmallFleetCallers = 100;  // beside fleets of fewer servers
+constexpr int kFewCallers = 100;  // beside fleets of rising size; fewer where there are few in all
 constexpr int kChanges = 6;
 constexpr double kServerSizes[] = {500, 1500, 3000, 6100};
 constexpr double kCallerSizes[] = {300, 1000, 3000, 10'000};
@@ -57,7 +57,8 @@
   void measure_fleet(int servers, bool whole) {
     capacity::RigTerms terms = terms_;
     terms.plan.servers = servers;
-    if (!whole) terms.plan.callers = std::min(kSmallFleetCallers, terms_.plan.callers);
+    const int few = few_callers();
+    if (!whole) terms.plan.callers = few;
     terms.folder = folder_ + "/" + std::to_string(servers);
     std::filesystem::create_directory(terms.folder);
     capacity::Stopwatch watch;
@@ -65,9 +66,12 @@
     if (!rig.start_servers()) figures_.fault("not all of " + std::to_string(servers) + " servers came up");
     std::printf("%d servers are up after %.1f s, load average %.1f\n", servers, watch.seconds(),
                 capacity::load_average());
+    // With some callers, whose sets tell that all servers are in service and nothing moves any more.
+    grow(rig, few);
     measure_reports(rig);
     measure_commands(rig);
-    whole ? measure_callers(rig) : measure_small(rig);
+    add_changes(by_servers_, "servers", servers, measure_changes(rig));
+    if (whole) measure_callers(rig);
   }
 
   // Real server processes, by endpoint groups and by the instances that they report to; what they use without
@@ -137,8 +141,9 @@
   };
   Singles measure_changes(capacity::RealRig& rig) {
     Singles out;
+    std::vector<std::uint32_t> held = rig.servers_of_a_caller();
     for (int i = 0; i < kChanges; ++i) {
-      auto server = static_cast<std::uint32_t>(1 + (i / 2 * 7) % rig.plan().servers);
+      std::uint32_t server = held.at(static_cast<std::size_t>(i / 2 * 7) % held.size());
       ChangeResult result = rig.change(i % 2 == 0 ? ChangeKind::kLeave : ChangeKind::kReturn, {server});
       note("single", result);
       out.in_force_ms.insert(out.in_force_ms.end(), result.in_force_ms.begin(), result.in_force_ms.end());
@@ -166,9 +171,8 @@
     sheet.add({"change_caller_cpu", by, "us"}, size, singles.caller_cpu_us);
   }
 
-  void measure_small(capacity::RealRig& rig) {
-    grow(rig, rig.plan().callers);
-    add_changes(by_servers_, "servers", rig.plan().servers, measure_changes(rig));
+  int few_callers() const {
+    return std::clamp(static_cast<int>(kFewCallers * terms_.plan.callers / kCallerSizes[3]), 1, kFewCallers);
   }
 
   void grow(capacity::RealRig& rig, int callers) {
@@ -180,16 +184,12 @@
   }
 
   void measure_callers(capacity::RealRig& rig) {
-    const long without_callers = rig.rested_kb();
-    bool first = true;
+    const long few_kb = rig.rested_kb();
+    const int few = rig.callers();
     for (double size : kCallerSizes) {
       auto callers = static_cast<int>(size * terms_.plan.callers / kCallerSizes[3]);
-      if (std::exchange(first, false)) {
-        grow(rig, std::min(kSmallFleetCallers, callers));
-        add_changes(by_servers_, "servers", rig.plan().servers, measure_changes(rig));
-      }
       grow(rig, callers);
-      figures_.kb_per_caller = static_cast<double>(rig.rested_kb() - without_callers) / callers;
+      figures_.kb_per_caller = static_cast<double>(rig.rested_kb() - few_kb) / (callers - few);
       by_callers_.add({"control_memory_of_caller", "callers", "kB"}, callers, {figures_.kb_per_caller});
       Singles singles = measure_changes(rig);
       add_changes(by_callers_, "callers", callers, singles);
--- a/measure/capacity/real_callers.cpp
+++ b/measure/capacity/real_callers.cpp
@@ -59,6 +59,7 @@
   for (std::int64_t at : watch_.in_force_at_ns()) answer.add_in_force_at_ns(at);
   answer.set_stale(watch_.stale());
   answer.set_endpoints_held(watch_.endpoints_held());
+  for (std::uint32_t server : watch_.servers_of_first()) answer.add_servers_of_first(server);
 }
 
 // Which server runs which keys, by the routes that callers have: each word once.
--- a/measure/capacity/real_load.cpp
+++ b/measure/capacity/real_load.cpp
@@ -51,6 +51,7 @@
   to.set_half_applied(to.half_applied() + more.half_applied());
   if (!more.half_applied_last().empty()) to.set_half_applied_last(more.half_applied_last());
   to.set_endpoints_held(to.endpoints_held() + more.endpoints_held());
+  if (to.servers_of_first().empty()) *to.mutable_servers_of_first() = more.servers_of_first();
   to.mutable_owners()->MergeFrom(more.owners());
 }
 
--- a/measure/capacity/real_rig.cpp
+++ b/measure/capacity/real_rig.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <fstream>
+#include <stdexcept>
 #include <thread>
 
 #include "capacity/real_callers.h"
@@ -105,6 +106,12 @@
   return callers_.ask(command);
 }
 
+std::vector<std::uint32_t> RealRig::servers_of_a_caller() {
+  hollow::Answer answer = look(true);
+  if (answer.servers_of_first().empty()) throw std::runtime_error("no caller has any server");
+  return {answer.servers_of_first().begin(), answer.servers_of_first().end()};
+}
+
 void RealRig::await_quiet() {
   std::uint64_t bytes = 0;
   std::int64_t since = steady_ns();
--- a/measure/capacity/real_rig.h
+++ b/measure/capacity/real_rig.h
@@ -75,6 +75,8 @@
   ReconnectResult reconnect_all();
 
   hollow::Answer look(bool whole);
+  // Changes of these touch somebody. Throws std::runtime_error where no caller has any.
+  std::vector<std::uint32_t> servers_of_a_caller();
   // Key shards that the callers' sets name two owners for; -1 where they name no owner at all.
   int doubled_owners();
   // Control's memory once what a crowd left behind was given back.
