Hollow callers wait for their connections as real ones do

The stand-in gives a connection up after 50 ms. With 3,000 hollow callers growing at once that was a storm of connections: control ran out of descriptors at 20,000 with 7,058 sockets open soon after, and accepted no caller any more. The measurement has a folder of its own name.

--- a/measure/capacity/measure_capacity_real.cpp
+++ b/measure/capacity/measure_capacity_real.cpp
@@ -2,15 +2,13 @@
 // report, hollow callers that apply, changes one at a time, a rack and a zone that fall silent, a reconnect of
 // all callers, and the operators' questions (measure/capacity/real_rig.h). All on one machine: the load shares
 // its processors with what is measured.
-#include <sys/resource.h>
-
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <optional>
 
-#include "../../tests/control_harness.h"
+#include "capacity/generated_fleet.h"
 #include "capacity/real_figures.h"
 #include "capacity/real_rig.h"
 #include "capacity/real_server_process.h"
@@ -269,9 +267,9 @@
   if (plan.deduplicated_every == 0) plan.deduplicated_every = plan.subsetting() ? kDeduplicatedEvery : plan.services;
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   terms.hollow_program = MYRTLECROFT_HOLLOW_FLEET;
-  control::Folder folder;
+  capacity::TemporaryFolder folder;
   try {
-    return Measurement(terms, folder.file("")).run();
+    return Measurement(terms, folder.path()).run();
   } catch (const std::exception& error) {
     std::printf("the measurement broke off: %s\n", error.what());
     return 1;
--- a/measure/capacity/real_callers.cpp
+++ b/measure/capacity/real_callers.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view kServerClusters = "node/";
+constexpr int kConnectWithinMs = 20'000;  // as gRPC clients have it by themselves
 
 }  // namespace
 
@@ -32,7 +33,7 @@
     watch_.applied(static_cast<std::uint32_t>(number), set, steady_ns());
   };
   links_.push_back(std::make_unique<standin::AdsLink>(target_, delta, name_of_caller(number), applied, bodies_,
-                                                      std::move(services)));
+                                                      std::move(services), kConnectWithinMs));
 }
 
 void HollowCallers::expect(const hollow::Command::Expect& command) {
--- a/standin/ads_link.cpp
+++ b/standin/ads_link.cpp
@@ -98,8 +98,10 @@
 };
 
 AdsLink::AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied,
-                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> services)
+                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> services,
+                 int connect_within_ms)
     : target_(target),
+      connect_within_ms_(connect_within_ms),
       method_(std::string("/envoy.service.discovery.v3.AggregatedDiscoveryService/") +
               (delta ? "DeltaAggregatedResources" : "StreamAggregatedResources")),
       told_(std::move(applied)),
@@ -112,7 +114,7 @@
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // a connection of its own
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_within_ms_);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 250);
   arguments.SetMaxReceiveMessageSize(64 << 20);
   channel_ = grpc::CreateCustomChannel(target_, grpc::InsecureChannelCredentials(), arguments);
--- a/standin/ads_link.h
+++ b/standin/ads_link.h
@@ -18,10 +18,14 @@
 
 class AdsLink {
  public:
+  // A connection that is not there by then is given up for another. Short, so that a caller soon leaves an
+  // instance that hangs; with thousands of callers on one busy machine it would be a storm of connections.
+  static constexpr int kConnectWithinMs = 50;
   // Told after each change of what is applied, from a thread of gRPC's.
   using Applied = std::function<void(const AppliedSet&)>;
   AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied = {},
-          std::shared_ptr<BodyCache> bodies = nullptr, std::vector<std::string> services = {});
+          std::shared_ptr<BodyCache> bodies = nullptr, std::vector<std::string> services = {},
+          int connect_within_ms = kConnectWithinMs);
   ~AdsLink();
 
   std::shared_ptr<const AppliedSet> applied() const;
@@ -44,6 +48,7 @@
   void connect();
 
   std::string target_;
+  int connect_within_ms_;
   std::string method_;
   std::shared_ptr<grpc::Channel> channel_;
   std::unique_ptr<grpc::GenericStub> stub_;
