--- a/measure/capacity/real_callers.cpp
+++ b/measure/capacity/real_callers.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view kServerClusters = "node/";
+constexpr int kConnectWithinMs = 20'000;  // as gRPC clients have it by themselves
 
 }  // namespace
 
@@ -32,7 +33,7 @@
     watch_.applied(static_cast<std::uint32_t>(number), set, steady_ns());
   };
   links_.push_back(std::make_unique<standin::AdsLink>(target_, delta, name_of_caller(number), applied, bodies_,
-                                                      std::move(services)));
+                                                      std::move(services), kConnectWithinMs));
 }
 
 void HollowCallers::expect(const hollow::Command::Expect& command) {
@@ -59,6 +60,7 @@
   for (std::int64_t at : watch_.in_force_at_ns()) answer.add_in_force_at_ns(at);
   answer.set_stale(watch_.stale());
   answer.set_endpoints_held(watch_.endpoints_held());
+  for (std::uint32_t server : watch_.servers_of_first()) answer.add_servers_of_first(server);
 }
 
 // Which server runs which keys, by the routes that callers have: each word once.
