--- a/tests/xds_wires.h
+++ b/tests/xds_wires.h
@@ -5,12 +5,14 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "../standin/ads_client.h"
 #include "xds/session_table.h"
+#include "xds/subset_resources.h"
 #include "xds/wire.h"
 
 namespace myrtlecroft::xds {
@@ -115,4 +117,32 @@
   int answers = 0;
 };
 
+inline fleet::ServerList placed_on(fleet::ServerList::Places places) {
+  return {std::make_shared<const fleet::ServerList::Places>(std::move(places))};
+}
+
+// "read" and "set" have subsets of ten of all servers, "near" runs on six, "write" has owners.
+inline routing::Snapshot subsetted(int nodes = 60) {
+  routing::Snapshot out = picture(nodes);
+  for (std::size_t i = 0; i < out.nodes.size(); ++i) out.nodes[i].zone = i % 2 ? "a" : "b";
+  out.service_listeners = true;
+  out.groups[0].subset_size = 10;
+  out.groups[2].subset_size = 10;
+  out.groups.push_back(
+      {.name = "near", .path = "/near", .timeout = kSecond, .servers = placed_on({0, 1, 2, 3, 4, 5})});
+  return out;
+}
+
+inline const SubsetResources& subsets_of(const ResourceSet& set, const std::string& cluster) {
+  return *set.of(Type::kEndpoints).at(cluster)->subsets;
+}
+
+inline std::set<std::string> servers_of(const Wires::Link& link, const std::string& cluster) {
+  std::set<std::string> out;
+  for (const auto& place : link.client.applied()->endpoints.at(cluster)->endpoints()) {
+    out.insert(place.locality().sub_zone());
+  }
+  return out;
+}
+
 }  // namespace myrtlecroft::xds
