--- a/standin/ads_link.cpp
+++ b/standin/ads_link.cpp
@@ -117,6 +117,9 @@
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_within_ms_);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 250);
   arguments.SetMaxReceiveMessageSize(64 << 20);
+  // A stream that ends is opened anew here, with all that it asks for. Where gRPC starts one again by itself, as the
+  // server was killed before it answered, requests after those it had sent already were seen to stay behind.
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   channel_ = grpc::CreateCustomChannel(target_, grpc::InsecureChannelCredentials(), arguments);
   stub_ = std::make_unique<grpc::GenericStub>(channel_);
 }
