A placement is made again only for subsets whose servers changed

Seen by stacks of control while 40 of 6,100 servers fell silent with 2,000 services: the loop stood in PlacementTable::place, which drew every subset of every touched service anew and wrote all of its servers down for a digest. Subsets without a changed server and with enough of them up are taken over; digests are of fingerprints that each node keeps.

--- a/src/routing/subsets.cpp
+++ b/src/routing/subsets.cpp
@@ -160,23 +160,20 @@
   return std::size_t{round} * per_round_ + subset;
 }
 
-std::vector<Subsets::Places> Subsets::in_service(const std::vector<NodeRoute>& nodes) const {
-  std::vector<Places> own(members_.size());
-  for (std::size_t subset = 0; subset < members_.size(); ++subset) {
-    for (std::uint32_t place : members_[subset]) {
-      if (nodes[place].health == Health::kHealthy) own[subset].push_back(place);
-    }
+void Subsets::append_healthy(std::size_t subset, const std::vector<NodeRoute>& nodes, Places& out) const {
+  for (std::uint32_t place : members_[subset]) {
+    if (nodes[place].health == Health::kHealthy) out.push_back(place);
   }
-  const std::size_t enough = (size_ + 1) / 2;
-  std::vector<Places> out = own;
-  for (std::size_t subset = 0; subset < out.size(); ++subset) {
-    const std::size_t begin = subset / per_round_ * per_round_;
-    for (std::size_t step = 1; step < per_round_ && out[subset].size() < enough; ++step) {
-      const Places& more = own[begin + (subset - begin + step) % per_round_];
-      out[subset].insert(out[subset].end(), more.begin(), more.end());
-    }
-    std::sort(out[subset].begin(), out[subset].end());
+}
+
+Subsets::Places Subsets::in_service(std::size_t subset, const std::vector<NodeRoute>& nodes) const {
+  const std::size_t first_of_round = subset / per_round_ * per_round_;
+  Places out;
+  append_healthy(subset, nodes, out);
+  for (std::size_t step = 1; step < per_round_ && out.size() < enough(); ++step) {
+    append_healthy(first_of_round + (subset - first_of_round + step) % per_round_, nodes, out);
   }
+  std::sort(out.begin(), out.end());
   return out;
 }
 
--- a/src/routing/subsets.h
+++ b/src/routing/subsets.h
@@ -33,11 +33,14 @@
   const Places& members(std::size_t subset) const { return members_[subset]; }
   // The subset that a caller is told of.
   std::size_t of_caller(std::uint64_t caller, std::uint64_t service) const;
-  // The servers that each subset has in service. One with fewer than half its size is filled up from those
-  // after it in its round: none is empty while a server is in service.
-  std::vector<Places> in_service(const std::vector<NodeRoute>& nodes) const;
+  // Servers in service from which on a subset is not filled up: half its size.
+  std::size_t enough() const { return (size_ + 1) / 2; }
+  // The servers that a subset has in service. One with fewer than enough is filled up from those after it in
+  // its round: none is empty while a server is in service.
+  Places in_service(std::size_t subset, const std::vector<NodeRoute>& nodes) const;
 
  private:
+  void append_healthy(std::size_t subset, const std::vector<NodeRoute>& nodes, Places& out) const;
   void divide(std::uint32_t round, const std::vector<NodeRoute>& nodes);
   void divide_cell(std::uint32_t round, const Places& cell, const std::vector<NodeRoute>& nodes);
 
--- a/src/xds/placement.cpp
+++ b/src/xds/placement.cpp
@@ -25,15 +25,33 @@
          one.health == other.health && one.weight == other.weight;
 }
 
+std::uint64_t fingerprint_of(const NodeRoute& node) {
+  std::string all;
+  for (const std::string* text : {&node.name, &node.zone, &node.host}) (all += '\n') += *text;
+  all += '\n' + std::to_string(node.port) + ' ' + std::to_string(node.priority) + ' ' +
+         routing::name_of(node.health) + ' ' + std::to_string(node.weight);
+  return XXH3_64bits(all.data(), all.size());
+}
+
+// That of the list before, where both have the same nodes.
+NodeListPtr shared_with(const NodeListPtr& before, NodeList list) {
+  return before && *before == list ? before : std::make_shared<const NodeList>(std::move(list));
+}
+
 }  // namespace
 
 PlacementTable::PlacementTable(const routing::Snapshot& snapshot, const PlacementTable* before)
-    : nodes_(snapshot.nodes.size()), touched_(snapshot.nodes.size(), true), all_(snapshot.nodes.size()) {
+    : nodes_(snapshot.nodes.size()),
+      fingerprints_(snapshot.nodes.size()),
+      touched_(snapshot.nodes.size(), true),
+      all_(snapshot.nodes.size()) {
   std::iota(all_.begin(), all_.end(), 0u);
   for (const NodeRoute& node : snapshot.nodes) in_flight_.push_back(node.in_flight);
   if (before) share_nodes(snapshot, *before);
   for (std::size_t place = 0; place < nodes_.size(); ++place) {
-    if (!nodes_[place]) nodes_[place] = std::make_shared<const NodeRoute>(snapshot.nodes[place]);
+    if (nodes_[place]) continue;
+    nodes_[place] = std::make_shared<const NodeRoute>(snapshot.nodes[place]);
+    fingerprints_[place] = fingerprint_of(snapshot.nodes[place]);
   }
   of_group_.reserve(snapshot.groups.size());
   for (const routing::GroupRoute& group : snapshot.groups) {
@@ -66,6 +84,8 @@
     }
     if (!old || !same_endpoint(*old, now)) continue;
     nodes_[place] = old;
+    bool same_place = place < before.nodes_.size() && before.nodes_[place] == old;
+    fingerprints_[place] = same_place ? before.fingerprints_[place] : fingerprint_of(now);
     touched_[place] = place >= before.in_flight_.size() || before.in_flight_[place] != now.in_flight;
   }
 }
@@ -118,22 +138,36 @@
 // A service of which nobody is in service keeps its servers as they are: what is sent there is refused there.
 // An empty one would make the whole set unfit, and hold up all other services. Where a service runs on all
 // nodes, none is in service at all, and the last set stays.
+NodeListPtr PlacementTable::serving_all(const Places& servers, bool named, const Placement* old) const {
+  NodeList list = in_service(servers);
+  if (list.empty() && named) list = as_they_are(servers);
+  return shared_with(old && !old->serving.empty() ? old->serving.front() : nullptr, std::move(list));
+}
+
+// None of its own servers has changed, and enough of them are in service, now and so before too: it was not
+// filled up from other subsets, and is not.
+bool PlacementTable::may_be_taken_over(const routing::Subsets& subsets, std::size_t subset) const {
+  const Places& members = subsets.members(subset);
+  if (any_touched(members)) return false;
+  auto up = std::count_if(members.begin(), members.end(),
+                          [&](std::uint32_t place) { return nodes_[place]->health == Health::kHealthy; });
+  return static_cast<std::size_t>(up) >= subsets.enough();
+}
+
 std::vector<NodeListPtr> PlacementTable::serving_of(const routing::Snapshot& snapshot, const Places& servers,
                                                     const routing::Subsets* subsets, bool named,
                                                     const Placement* old) const {
+  if (!subsets) return {serving_all(servers, named, old)};
+  const bool comparable = old && old->subsets.get() == subsets;
   std::vector<NodeListPtr> out;
-  auto add = [&](NodeList list) {
-    const std::size_t at = out.size();
-    bool same = old && at < old->serving.size() && *old->serving[at] == list;
-    out.push_back(same ? old->serving[at] : std::make_shared<const NodeList>(std::move(list)));
-  };
-  if (!subsets) {
-    NodeList list = in_service(servers);
-    add(list.empty() && named ? as_they_are(servers) : std::move(list));
-    return out;
-  }
-  for (const Places& told : subsets->in_service(snapshot.nodes)) {
-    add(told.empty() && named ? as_they_are(servers) : as_they_are(told));
+  for (std::size_t subset = 0; subset < subsets->count(); ++subset) {
+    NodeListPtr before = comparable ? old->serving[subset] : nullptr;
+    if (before && may_be_taken_over(*subsets, subset)) {
+      out.push_back(std::move(before));
+      continue;
+    }
+    Places told = subsets->in_service(subset, snapshot.nodes);
+    out.push_back(shared_with(before, as_they_are(told.empty() && named ? servers : told)));
   }
   return out;
 }
@@ -149,14 +183,9 @@
 }
 
 std::uint64_t PlacementTable::digest_of(const Places& servers, const routing::Subsets* subsets) const {
-  std::string all = std::to_string(subsets ? subsets->size() : 0);
-  for (std::uint32_t place : servers) {
-    const NodeRoute& node = *nodes_[place];
-    for (const std::string* text : {&node.name, &node.zone, &node.host}) (all += '\n') += *text;
-    all += '\n' + std::to_string(node.port) + ' ' + std::to_string(node.priority) + ' ' +
-           routing::name_of(node.health) + ' ' + std::to_string(node.weight);
-  }
-  return XXH3_64bits(all.data(), all.size());
+  std::vector<std::uint64_t> all = {subsets ? subsets->size() : 0};
+  for (std::uint32_t place : servers) all.push_back(fingerprints_[place]);
+  return XXH3_64bits(all.data(), all.size() * sizeof all.front());
 }
 
 }  // namespace myrtlecroft::xds
--- a/src/xds/placement.h
+++ b/src/xds/placement.h
@@ -46,14 +46,17 @@
                                                      std::uint32_t size, const Placement* old) const;
   NodeList in_service(const Places& servers) const;
   NodeList as_they_are(const Places& servers) const;
+  NodeListPtr serving_all(const Places& servers, bool named, const Placement* old) const;
   std::vector<NodeListPtr> serving_of(const routing::Snapshot& snapshot, const Places& servers,
                                       const routing::Subsets* subsets, bool named,
                                       const Placement* old) const;
+  bool may_be_taken_over(const routing::Subsets& subsets, std::size_t subset) const;
   double in_flight_of(const Places& servers) const;
   std::uint64_t digest_of(const Places& servers, const routing::Subsets* subsets) const;
 
   std::vector<NodePtr> nodes_;
-  std::vector<std::uint32_t> in_flight_;  // of nodes: no part of their endpoints
+  std::vector<std::uint64_t> fingerprints_;  // of all that a node's endpoints are made from
+  std::vector<std::uint32_t> in_flight_;     // of nodes: no part of their endpoints
   std::vector<bool> touched_;
   bool same_places_ = false;
   Places all_;
--- a/tests/subsets_test.cpp
+++ b/tests/subsets_test.cpp
@@ -52,6 +52,14 @@
   return differ.size();
 }
 
+std::vector<Subsets::Places> all_in_service(const Subsets& subsets, const std::vector<NodeRoute>& nodes) {
+  std::vector<Subsets::Places> out;
+  for (std::size_t subset = 0; subset < subsets.count(); ++subset) {
+    out.push_back(subsets.in_service(subset, nodes));
+  }
+  return out;
+}
+
 TEST(Subsets, OrderOfTheFileChangesNothing) {
   std::vector<NodeRoute> nodes = servers(300);
   std::vector<NodeRoute> turned(nodes.rbegin(), nodes.rend());
@@ -156,9 +164,9 @@
     Subsets subsets(nodes, all_of(nodes), size);
     for (NodeRoute& node : nodes) node.health = Health::kOut;
     nodes[17].health = Health::kHealthy;
-    for (const auto& told : subsets.in_service(nodes)) EXPECT_EQ(told, Subsets::Places{17}) << size;
+    for (const auto& told : all_in_service(subsets, nodes)) EXPECT_EQ(told, Subsets::Places{17}) << size;
     nodes[17].health = Health::kDraining;
-    for (const auto& told : subsets.in_service(nodes)) EXPECT_TRUE(told.empty());
+    for (const auto& told : all_in_service(subsets, nodes)) EXPECT_TRUE(told.empty());
   }
 }
 
@@ -166,7 +174,7 @@
   std::vector<NodeRoute> nodes = servers(300);
   Subsets subsets(nodes, all_of(nodes), 20);
   for (std::uint32_t place : subsets.members(3)) nodes[place].health = Health::kOut;
-  auto told = subsets.in_service(nodes);
+  auto told = all_in_service(subsets, nodes);
   EXPECT_GE(told[3].size(), 10u);
   for (std::size_t at = 0; at < 15; ++at) {
     if (at != 3) {
@@ -179,7 +187,7 @@
   std::vector<NodeRoute> nodes = servers(300);
   Subsets subsets(nodes, all_of(nodes), 20);
   for (NodeRoute& node : nodes) node.health = node.zone == "z1" ? Health::kOut : Health::kHealthy;
-  for (const auto& told : subsets.in_service(nodes)) EXPECT_GE(told.size(), 10u);
+  for (const auto& told : all_in_service(subsets, nodes)) EXPECT_GE(told.size(), 10u);
 }
 
 }  // namespace
