A pause of control's own is nobody's silence; publications rest between bursts

Seen with 6,100 servers and 10,000 callers while 381 servers were lost at once: 'view clear -> isolated: too many nodes fell silent at once; heard of 0.00 of the capacity'. The loop had stood still over a publication, and its next step came before the reports that had waited unread. Time between two steps of more than 300 ms counts as nobody's silence now, and a publication is followed by a rest of twice its own time, in which changes come together.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -278,6 +278,7 @@
 }
 
 void Control::publish(const routing::Published& published) {
+  const Nanos begun = net::Loop::unix_now();
   auto set = xds::make_resources(published, served_.get());
   if (std::string fault = xds::fault_of(*set, served_.get()); !fault.empty()) {
     log_.line("a set is not fit to be served, the last one stays: " + fault);
@@ -285,6 +286,7 @@
   }
   served_ = std::move(set);
   discovery_.publish(served_);
+  pacer_.published(std::max<Nanos>(0, net::Loop::unix_now() - begun), loop_.now());
 }
 
 void Control::hand_on(std::function<void()> then) {
@@ -298,7 +300,11 @@
   again_.set(kBeat);
   hear_proxies();
   if (agreed_) return serve_agreed();
-  if (auto next = router_.step(loop_.now())) waiting_ = std::move(next);
+  if (!pacer_.may_publish(loop_.now())) {
+    router_.watch(loop_.now());
+  } else if (auto next = router_.step(loop_.now())) {
+    waiting_ = std::move(next);
+  }
   if (!waiting_ && loop_.now() - trimmed_at_ > kTrimEvery) {
     trimmed_at_ = loop_.now();
     malloc_trim(0);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -17,6 +17,7 @@
 #include "control/discovery_service.h"
 #include "control/door.h"
 #include "control/operators.h"
+#include "control/publication_pacer.h"
 #include "control/reporter_links.h"
 #include "control/state_store.h"
 #include "net/log.h"
@@ -102,6 +103,7 @@
   std::shared_ptr<const routing::Published> covered_;  // is known again from what is on its way
   bool disk_fails_ = false;
   Nanos tried_at_ = 0;
+  PublicationPacer pacer_;
   Nanos trimmed_at_ = 0;
   std::uint64_t applied_ = 0;
   std::optional<std::uint64_t> heard_changes_;  // of the proxies, when they were last looked at
--- a/src/routing/members.cpp
+++ b/src/routing/members.cpp
@@ -4,11 +4,13 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 namespace myrtlecroft::routing {
 namespace {
 
 constexpr Nanos kLostLinkShare = 4;      // silent after this part of the usual time, where its link broke
+constexpr Nanos kOwnPause = 300 * kMs;   // between two steps: three beats of whoever calls us
 constexpr Nanos kSuspectShare = 2;       // heard of within this part of the time to silence, or it may be us
 constexpr std::uint64_t kMuteLeast = 3;  // unanswered exchanges, as the node counts them
 constexpr double kMuteIssued = 8;        // exchanges lately, as proxies count them
@@ -315,8 +317,23 @@
   changed_ = true;
 }
 
+// While this control service stood still itself, reports waited unread: that time is nobody's silence. Without it,
+// one publication that took longer than half the time to silence had all of the fleet taken for silent. Harm: a node
+// that falls silent in such a time is out later by as much.
+void Members::excuse_own_pause() {
+  const Nanos pause = now_ - std::exchange(stepped_at_, now_);
+  if (pause == now_ || pause <= kOwnPause) return;
+  view_since_ = std::min(now_, view_since_ + pause);
+  for (Member& member : members_) {
+    for (Nanos* at : {&member.heard_at, &member.moved_at, &member.proxies_content_at}) {
+      if (*at > 0) *at = std::min(now_, *at + pause);
+    }
+  }
+}
+
 bool Members::step(Nanos now) {
   now_ = std::max(now_, now);
+  excuse_own_pause();
   changed_ = false;
   for (const ViewStep& row : kViews) {
     if (row.view != view_ || !(this->*row.when)()) continue;
--- a/src/routing/members.h
+++ b/src/routing/members.h
@@ -189,6 +189,7 @@
     return out ? member.node.capacity : 0;
   }
 
+  void excuse_own_pause();
   void step(Member& member);
   void enter(Member& member, State next, const char* why);
   void came_back(Member& member);
@@ -212,6 +213,7 @@
   Nanos view_since_;
   Nanos now_;
   Nanos followed_at_;
+  Nanos stepped_at_ = 0;
   bool changed_ = false;
   Log log_;
 };
--- a/tests/control_size_test.cpp
+++ b/tests/control_size_test.cpp
@@ -7,6 +7,7 @@
 #include "../standin/child.h"
 #include "control/ask.h"
 #include "control/pager.h"
+#include "control/publication_pacer.h"
 #include "control/question.h"
 #include "control/reporter_links.h"
 #include "control_harness.h"
@@ -230,6 +231,16 @@
   EXPECT_EQ(pager.first(), 2u);
 }
 
+TEST(PublicationPacer, TheNextPublicationWaitsTwiceAsLongAsTheLastOneTook) {
+  PublicationPacer pacer;
+  EXPECT_TRUE(pacer.may_publish(0));
+  pacer.published(400 * kMs, kSecond);
+  EXPECT_FALSE(pacer.may_publish(kSecond + 799 * kMs));
+  EXPECT_TRUE(pacer.may_publish(kSecond + 800 * kMs));
+  pacer.published(0, 2 * kSecond);
+  EXPECT_TRUE(pacer.may_publish(2 * kSecond));
+}
+
 TEST(ReporterLinks, ANodeIsWithoutALinkOnlyWhenItsLastConnectionHasEnded) {
   ReporterLinks links;
   EXPECT_TRUE(links.names(1, "n1"));
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -54,6 +54,20 @@
   EXPECT_EQ(world.router.published()->snapshot, before);
 }
 
+// Reports that came meanwhile are read only after the step that follows: it took all of the fleet for silent.
+TEST(Members, APauseOfOurOwnIsNobodysSilence) {
+  FleetWorld world;
+  world.run(5 * kSecond);
+  ASSERT_EQ(world.router.members().view(), View::kClear);
+  world.now += 3 * kSecond;
+  world.router.step(world.now);
+  EXPECT_EQ(world.router.members().view(), View::kClear);
+  for (const Member& member : world.router.members().all()) EXPECT_EQ(member.state, State::kServing);
+  world.quiet["n1"] = true;
+  world.run(1500 * kMs);
+  EXPECT_EQ(world.member("n1").state, State::kSilent) << "silence after it counts as ever";
+}
+
 TEST(Members, IsolationLeavesTheWordOfThoseStillHeard) {
   FleetWorld world(small_fleet(5));
   world.run(3 * kSecond);
