--- a/measure/capacity/measure_capacity.sh
+++ b/measure/capacity/measure_capacity.sh
@@ -1,11 +1,17 @@
 #!/bin/bash
 # Runs the capacity measurements one after the other and joins their figures to one line:
 #   measure_capacity.sh FOLDER-OF-PROGRAMS PROGRAM-OF-THE-VERSION-BEFORE FOLDER-FOR-THE-OUTPUT
+#   measure_capacity.sh join FOLDER-OF-THE-OUTPUT    # the line again, of what was run before
 # What each part printed stays in the last folder. Ends with 1 where a part failed or a figure is missing.
 set -uo pipefail
-programs=$1
-before=$2
-output=$3
+if [ "$1" = join ]; then
+  programs=
+  output=$2
+else
+  programs=$1
+  before=$2
+  output=$3
+fi
 servers=6100
 callers=10000
 services=2000
@@ -39,10 +45,12 @@
   ' "$output/$1.txt"
 }
 
-run real "$programs/measure_capacity_real" --servers $servers --callers $callers --services $services --subsetting $subset_size
-run server "$programs/measure_capacity_server"
-run slopes "$programs/measure_capacity_slopes" --subsetting $subset_size
-run before "$before" --before
+if [ -n "$programs" ]; then
+  run real "$programs/measure_capacity_real" --servers $servers --callers $callers --services $services --subsetting $subset_size
+  run server "$programs/measure_capacity_server"
+  run slopes "$programs/measure_capacity_slopes" --subsetting $subset_size
+  run before "$before" --before
+fi
 
 line="measured capacity nodes=$servers callers=$callers services=$services"
 add() {
@@ -62,7 +70,7 @@
 add added_p99_us "$(value server added_p99_us)"
 add tenants_read_ms "$(value server tenants_read_ms)"
 add step_ms_before "$(median_at before step_at_rest servers $servers)"
-add change_bytes_per_caller_before "$(median_at before weight_bytes servers $servers)"
+add change_bytes_per_caller_before "$(median_at before one_weight_bytes_sotw servers $servers)"
 add lost "$(value real lost)"
 add doubled "$(value real doubled)"
 echo "$line"
