--- a/measure/capacity/measure_capacity.sh
+++ b/measure/capacity/measure_capacity.sh
@@ -23,8 +23,11 @@
   local name=$1
   shift
   echo "== $name: $*"
-  "$@" > "$output/$name.txt" 2>&1 || { echo "$name failed: $output/$name.txt"; failed=1; }
+  local code=0
+  "$@" > "$output/$name.txt" 2>&1 || code=1
+  [ $code = 0 ] || echo "$name failed: $output/$name.txt"
   tail -n 1 "$output/$name.txt"
+  return $code
 }
 
 # KEY=VALUE of the last line of a part.
@@ -46,10 +49,13 @@
 }
 
 if [ -n "$programs" ]; then
-  run real "$programs/measure_capacity_real" --servers $servers --callers $callers --services $services --subsetting $subset_size
-  run server "$programs/measure_capacity_server"
-  run slopes "$programs/measure_capacity_slopes" --subsetting $subset_size
-  run before "$before" --before
+  run real "$programs/measure_capacity_real" --servers $servers --callers $callers --services $services \
+    --subsetting $subset_size || failed=1
+  run server "$programs/measure_capacity_server" || failed=1
+  # Each has one thread and counts its own processor time.
+  run slopes "$programs/measure_capacity_slopes" --subsetting $subset_size &
+  run before "$before" --before || failed=1
+  wait $! || failed=1
 fi
 
 line="measured capacity nodes=$servers callers=$callers services=$services"
