Read over: what nobody calls any more goes, twins share one piece

Hollow callers are ended and started for a reconnect, so cutting them in place, AdsLink::start_over and AdsClient::forget had no caller left. The simulator's adapter finds a tenant by the service's index instead of a loop of its own; a mode's word is written once in control; tests take the thread's time from where the measurements do.

--- a/measure/capacity/real_callers.cpp
+++ b/measure/capacity/real_callers.cpp
@@ -40,10 +40,6 @@
   watch_.expect({command.servers().begin(), command.servers().end()}, command.present());
 }
 
-void HollowCallers::cut() {
-  for (auto& link : links_) link->start_over();
-}
-
 void HollowCallers::fill(hollow::Answer& answer, bool whole) const {
   ChangeWatch::Progress progress = watch_.progress();
   answer.set_touched(progress.touched);
--- a/measure/capacity/real_callers.h
+++ b/measure/capacity/real_callers.h
@@ -20,7 +20,6 @@
 
   void add(const hollow::Command::AddCallers& command);
   void expect(const hollow::Command::Expect& command);
-  void cut();
   void fill(hollow::Answer& answer, bool whole) const;
   void list_owners(hollow::Answer& answer) const;
 
--- a/measure/capacity/real_hollow_fleet.cpp
+++ b/measure/capacity/real_hollow_fleet.cpp
@@ -31,7 +31,6 @@
   if (callers) {
     if (command.has_add_callers()) callers->add(command.add_callers());
     if (command.has_expect()) callers->expect(command.expect());
-    if (command.has_cut_callers()) callers->cut();
     if (command.has_list_owners()) callers->list_owners(answer);
     callers->fill(answer, command.look().whole());
   }
--- a/src/control/answers.cpp
+++ b/src/control/answers.cpp
@@ -15,11 +15,6 @@
 
 double seconds(Nanos time) { return static_cast<double>(time) / static_cast<double>(kSecond); }
 
-const char* name_of(Mode mode) {
-  constexpr const char* names[] = {"serving", "stalled", "trial", "leaving"};
-  return names[static_cast<std::size_t>(mode)];
-}
-
 bool matches(const Question& question, const std::string& zone, std::string_view state,
              const std::string& name) {
   return (question.zone.empty() || question.zone == zone) &&
@@ -85,6 +80,11 @@
 
 }  // namespace
 
+const char* name_of(Mode mode) {
+  constexpr const char* names[] = {"serving", "stalled", "trial", "leaving"};
+  return names[static_cast<std::size_t>(mode)];
+}
+
 AdminAnswer Answers::any(const AnswerFacts& facts) const {
   AdminAnswer out;
   out.set_view(routing::name_of(router_.members().view()));
--- a/src/control/answers.h
+++ b/src/control/answers.h
@@ -17,6 +17,9 @@
 
 namespace myrtlecroft::control {
 
+// As a server says it, in rows and log lines.
+const char* name_of(Mode mode);
+
 // What the control service itself keeps, at the time of a question.
 struct AnswerFacts {
   std::uint64_t published = 0;  // in what is served
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -30,11 +30,6 @@
 constexpr int kReadChunk = 4096;     // bytes
 constexpr std::size_t kGrpcMemory = std::size_t{512} << 20;
 
-const char* name_of(Mode mode) {
-  constexpr const char* names[] = {"serving", "stalled", "trial", "leaving"};
-  return names[static_cast<std::size_t>(mode)];
-}
-
 const char* why(routing::Members::Verdict verdict) {
   using Verdict = routing::Members::Verdict;
   switch (verdict) {
--- a/src/routing/members.cpp
+++ b/src/routing/members.cpp
@@ -207,7 +207,8 @@
     if (totals.in_time >= before.in_time)
       member->in_time.add(static_cast<double>(totals.in_time - before.in_time), now_);
     if (totals.answered - totals.denied >= before.answered - before.denied)
-      member->ran.add(static_cast<double>(totals.answered - totals.denied - before.answered + before.denied), now_);
+      member->ran.add(static_cast<double>(totals.answered - totals.denied - before.answered + before.denied),
+                      now_);
   }
   member->version = report.version;
   member->asked.add(report.running + report.held, now_);
@@ -317,12 +318,13 @@
   changed_ = true;
 }
 
-// While this control service stood still itself, reports waited unread: that time is nobody's silence. Without it,
-// one publication that took longer than half the time to silence had all of the fleet taken for silent. Harm: a node
-// that falls silent in such a time is out later by as much.
+// While this control service stood still itself, reports waited unread: that time is nobody's silence.
+// Without it, one publication that took longer than half the time to silence had all of the fleet taken for
+// silent. Harm: a node that falls silent in such a time is out later by as much.
 void Members::excuse_own_pause() {
-  const Nanos pause = now_ - std::exchange(stepped_at_, now_);
-  if (pause == now_ || pause <= kOwnPause) return;
+  const Nanos before = std::exchange(stepped_at_, now_);
+  const Nanos pause = now_ - before;
+  if (before == 0 || pause <= kOwnPause) return;
   view_since_ = std::min(now_, view_since_ + pause);
   for (Member& member : members_) {
     for (Nanos* at : {&member.heard_at, &member.moved_at, &member.proxies_content_at}) {
--- a/src/routing/members.h
+++ b/src/routing/members.h
@@ -213,7 +213,7 @@
   Nanos view_since_;
   Nanos now_;
   Nanos followed_at_;
-  Nanos stepped_at_ = 0;
+  Nanos stepped_at_ = 0;  // 0 = not yet
   bool changed_ = false;
   Log log_;
 };
--- a/src/wirehost/wire.cpp
+++ b/src/wirehost/wire.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "service/customer_index.h"
 #include "terms/reader.h"
 
 namespace myrtlecroft::wirehost {
@@ -91,10 +92,7 @@
       if (known.name == group) ex->group = &known;
     }
     if (!ex->group) throw WireError("field 'profile' names the unknown class '" + group + "'");
-    std::string tenant = read_tenant(fields);
-    for (const Customer& known : terms_.customers) {
-      if (known.name == tenant) ex->customer = &known;
-    }
+    ex->customer = customers_.find(read_tenant(fields));
     ex->has_subject = has_key(fields);
     ex->writes = truth(fields, "update");
     ex->arrived = -whole_or(fields, "ageNs", 0);  // made a clock time when it is delivered
@@ -169,6 +167,7 @@
   }
 
   const ServiceTerms terms_;
+  const service::CustomerIndex<> customers_{terms_.customers};
   std::string& reply_;
   std::string server_;
   std::unordered_map<std::uint64_t, std::unique_ptr<WireExchange>> exchanges_;
--- a/standin/ads_client.cpp
+++ b/standin/ads_client.cpp
@@ -83,11 +83,6 @@
   return out;
 }
 
-void AdsClient::forget() {
-  kinds_.clear();
-  applied_.reset();
-}
-
 std::string AdsClient::request(const std::string& type, const std::optional<std::string>& error, bool first,
                                const std::vector<std::string>& more, const std::vector<std::string>& fewer) {
   const Kind& kind = kinds_.at(type);
--- a/standin/ads_client.h
+++ b/standin/ads_client.h
@@ -58,8 +58,6 @@
 
   // A new stream: the requests that open it. What was applied stays.
   std::vector<std::string> connected();
-  // It has started anew, and has nothing.
-  void forget();
   // A response as it came; the requests that follow from it.
   std::vector<std::string> came(const std::string& bytes);
   // From now on refuses answers that hold a resource with this in its name; nothing: refuses none.
--- a/standin/ads_link.cpp
+++ b/standin/ads_link.cpp
@@ -34,7 +34,7 @@
     std::shared_ptr<const AppliedSet> applied;
     {
       std::lock_guard lock(link_.mutex_);
-      if (!ok || link_.starting_over_) return stop_reading();
+      if (!ok) return stop_reading();
       grpc::Slice bytes;
       if (!in_.DumpToSingleSlice(&bytes).ok()) {
         read_out_ = false;
@@ -98,30 +98,24 @@
 };
 
 AdsLink::AdsLink(const std::string& target, bool delta, const std::string& id, Applied applied,
-                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> services,
-                 int connect_within_ms)
-    : target_(target),
-      connect_within_ms_(connect_within_ms),
-      method_(std::string("/envoy.service.discovery.v3.AggregatedDiscoveryService/") +
+                 std::shared_ptr<BodyCache> bodies, std::vector<std::string> services, int connect_within_ms)
+    : method_(std::string("/envoy.service.discovery.v3.AggregatedDiscoveryService/") +
               (delta ? "DeltaAggregatedResources" : "StreamAggregatedResources")),
       told_(std::move(applied)),
       client_(delta, id, "a", std::move(bodies), std::move(services)) {
-  connect();
-  open();
-}
-
-void AdsLink::connect() {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // a connection of its own
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_within_ms_);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_within_ms);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 250);
   arguments.SetMaxReceiveMessageSize(64 << 20);
-  // A stream that ends is opened anew here, with all that it asks for. Where gRPC starts one again by itself, as the
-  // server was killed before it answered, requests after those it had sent already were seen to stay behind.
+  // A stream that ends is opened anew here, with all that it asks for. Where gRPC starts one again by itself,
+  // as the server was killed before it answered, requests after those it had sent already were seen to stay
+  // behind.
   arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-  channel_ = grpc::CreateCustomChannel(target_, grpc::InsecureChannelCredentials(), arguments);
+  channel_ = grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), arguments);
   stub_ = std::make_unique<grpc::GenericStub>(channel_);
+  open();
 }
 
 AdsLink::~AdsLink() {
@@ -133,7 +127,6 @@
 
 void AdsLink::open() {
   std::lock_guard lock(mutex_);
-  if (std::exchange(starting_over_, false)) connect();
   stream_ = new Stream(*this);
   stream_->begin();
 }
@@ -156,13 +149,6 @@
   if (stream_) stream_->cancel();
 }
 
-void AdsLink::start_over() {
-  std::lock_guard lock(mutex_);
-  starting_over_ = true;
-  client_.forget();
-  if (stream_) stream_->cancel();
-}
-
 std::shared_ptr<const AppliedSet> AdsLink::applied() const {
   std::lock_guard lock(mutex_);
   return client_.applied();
--- a/standin/ads_link.h
+++ b/standin/ads_link.h
@@ -37,18 +37,13 @@
   void stop_reading() { reading_ = false; }
   // Cuts the stream; a new one follows by itself.
   void cut();
-  // As a caller that has ended and is started again: it connects anew, and has nothing.
-  void start_over();
   bool connected() const { return connected_; }
 
  private:
   class Stream;
   void open();
   void ended();
-  void connect();
 
-  std::string target_;
-  int connect_within_ms_;
   std::string method_;
   std::shared_ptr<grpc::Channel> channel_;
   std::unique_ptr<grpc::GenericStub> stub_;
@@ -60,7 +55,6 @@
   std::atomic<bool> reading_ = true;
   std::atomic<bool> connected_ = false;
   bool closing_ = false;
-  bool starting_over_ = false;
 };
 
 }  // namespace myrtlecroft::standin
--- a/tests/customers_test.cpp
+++ b/tests/customers_test.cpp
@@ -1,13 +1,15 @@
 // Customers by name, at the size of a large deployment's settings.
-#include <ctime>
 #include <memory>
 
+#include "../measure/capacity/cost.h"
 #include "net_story.h"
 #include "service/customer_index.h"
 
 namespace myrtlecroft {
 namespace {
 
+using capacity::thread_cpu_seconds;
+
 constexpr int kPlannedCustomers = 380'000;
 
 std::string name_of(int number) { return "customer-" + std::to_string(number); }
@@ -58,13 +60,6 @@
   }
 }
 
-// Time on the cores, which other processes on the machine don't add to, as they do to the time of the wall.
-double thread_cpu_seconds() {
-  timespec now{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
-}
-
 struct CustomersStory : net::FrontStory {
   // What a server with so many customers uses for a hundred requests, one after the other.
   double cpu_of_requests(int count) {
--- a/tests/xds_cost_test.cpp
+++ b/tests/xds_cost_test.cpp
@@ -1,26 +1,20 @@
 // What a publication costs for callers that ask for few of many services.
 #include <gtest/gtest.h>
 
-#include <ctime>
-
+#include "../measure/capacity/cost.h"
 #include "xds_wires.h"
 
 namespace myrtlecroft::xds {
 namespace {
 
+using capacity::thread_cpu_seconds;
+
 constexpr int kManyServices = 4000;
 constexpr int kFewServices = 10;
 constexpr int kCallers = 20;
 constexpr int kPublications = 20;
 constexpr double kMostTimes = 30;
 
-// Time on the cores, which other processes on the machine don't add to.
-double thread_cpu_seconds() {
-  timespec now{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
-}
-
 routing::Snapshot with_services(int services) {
   routing::Snapshot out = picture();
   out.service_listeners = true;
