A publication's time is taken by the steady clock, not by the wall clock

The rest after a publication is twice the time it took; with the system clock set forward by an hour meanwhile, nothing would have been published for two. Found by reading; the steps of a wall clock were not played here. Control's tests pass.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -273,7 +273,7 @@
 }
 
 void Control::publish(const routing::Published& published) {
-  const Nanos begun = net::Loop::unix_now();
+  const Nanos begun = loop_.now();
   auto set = xds::make_resources(published, served_.get());
   if (std::string fault = xds::fault_of(*set, served_.get()); !fault.empty()) {
     log_.line("a set is not fit to be served, the last one stays: " + fault);
@@ -281,7 +281,7 @@
   }
   served_ = std::move(set);
   discovery_.publish(served_);
-  pacer_.published(std::max<Nanos>(0, net::Loop::unix_now() - begun), loop_.now());
+  pacer_.published(loop_.now() - begun, loop_.now());
 }
 
 void Control::hand_on(std::function<void()> then) {
