--- a/review/1/test.cpp
+++ b/review/1/test.cpp
@@ -57,7 +57,7 @@
   std::uint64_t number = static_cast<std::uint64_t>(steady_us());
   auto exchange = [&](int id, Try one, Answer& answer) {
     ledger.sent(one);
-    Request request{.attempt = one, .tenant = "sunroad", .wait_ms = 3000};
+    Request request{.attempt = one, .tenant = "sunroad", .wait = "3000"};
     record.line("balancer: try %s of key %s is written", one.id.c_str(), one.key.c_str());
     bool sent = balancer.send(id, fastcgi_request(id, request_params(request), one.body), [&](const Answer&) {
       ledger.end(one.id);
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -621,8 +621,7 @@
 struct Request {
   Try attempt;
   std::string tenant;
-  int wait_ms = 2000;
-  bool names_wait = true;
+  std::string wait = "2000";  // Max-Wait-Ms
 };
 
 inline std::vector<std::pair<std::string, std::string>> request_params(const Request& request) {
@@ -635,8 +634,8 @@
       {"HTTP_PROJECT", request.tenant},
       {"HTTP_EXPECTED_MS", "30.00"},
       {"HTTP_RESERVE_KB", "24.5"},
-      {"HTTP_STANDING", "0.6250"}};
-  if (request.names_wait) out.push_back({"HTTP_MAX_WAIT_MS", std::to_string(request.wait_ms)});
+      {"HTTP_STANDING", "0.6250"},
+      {"HTTP_MAX_WAIT_MS", request.wait}};
   if (!request.attempt.key.empty()) out.push_back({"HTTP_REPLAY_KEY", request.attempt.key});
   return out;
 }
@@ -792,4 +791,22 @@
       {"name":"outback-plug","quotaPerS":60,"share":0.24},{"name":"reef-volts","quotaPerS":30,"share":0.13}]})";
 }
 
+// The settings of hsinchu-main: part-lookup, status-set and custody-record.
+inline std::string custody_settings() {
+  return R"({"classes":[
+    {"name":"part-lookup","effect":"idempotent","gain":1,"goalTimeNs":1800000000,"hardLimitNs":4400000000,"lateWorth":0.2,"dedupWindowNs":5000000000},
+    {"name":"status-set","effect":"idempotent","gain":2,"goalTimeNs":1800000000,"hardLimitNs":4400000000,"lateWorth":0,"dedupWindowNs":5000000000},
+    {"name":"custody-record","effect":"deduplicated","gain":3,"goalTimeNs":1800000000,"hardLimitNs":4400000000,"lateWorth":0,"dedupWindowNs":13212000000}],
+    "clients":{"marksRetry":false},
+    "familyInfo":{"nCores":6,"ramKb":77208,"blowup":16,"keyKb":181.93,"idleNs":30000000000,"cold":false,"downstream":"one_for_all",
+      "callsOut":4.58,"depWindowNs":5000000000,"staysForNs":200000000,"classCalls":[true,true,true],"classSkipWorth":[0.3,0.5,0],
+      "freshNs":0,"senders":3,"stopMode":"off","advert":"off","heededNs":1000000000,"deepChecks":true,"registryFollows":true,
+      "passesDeadline":true,"cancelSeen":false,"meters":["core_use","on_cores","heap_share","links"]},
+    "limits":{"retryAfter":true,"maxRetryAfterNs":1000000000,"cpuUsPerS":60000},
+    "overShareWorth":0.05,"worthBy":"work",
+    "rules":{"answerSlackNs":100000000,"coldFrom":0.24,"drainGraceNs":2000000000,"overloadFactor":8,"overloadForNs":1500000000,"warmWithinNs":18000000000},
+    "servers":12,"tickNs":2000000,
+    "tenants":[{"name":"east-array","quotaPerS":35,"share":0.26},{"name":"muon-wall","quotaPerS":29,"share":0.21}]})";
+}
+
 }  // namespace rig
