Review case 3: two servers own one shard after control restarts

Cause: a control service that decides alone serves open shards to a new proxy up to a second before that proxy is on its disk; after a crash in between, shards move without it. Change: a script with stand-ins that shows it, in review/3; nothing else is touched.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,23 @@
 #!/bin/sh
-# Builds the stand-ins and drivers of the review's tests into review/build. Needs a C++20 compiler only.
+# Builds the stand-ins and drivers of the review's tests into review/build. Cases 1 and 2 need a C++20 compiler
+# only. Case 3 links the project's own stand-in for a proxy, and uses the control service: they are taken from
+# build/ where `make build` made them there, and are else built into review/build/all.
 set -e
 cd "$(dirname "$0")"
 mkdir -p build
-for test in [0-9]/test.cpp; do
-  [ -f "$test" ] || continue
-  "${CXX:-c++}" -std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -Irig "$test" -o "build/case$(dirname "$test")"
+CXX=${CXX:-c++}
+FLAGS="-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -Irig"
+for test in 1 2; do
+  [ -f "$test/test.cpp" ] && "$CXX" $FLAGS "$test/test.cpp" -o "build/case$test"
 done
+[ -f 3/test.cpp ] || exit 0
+made=$PWD/../build
+if [ ! -x "$made/myrtlecroft-control" ] || [ ! -f "$made/libmyrtlecroft_standin.a" ] ||
+   grep -q '^MYRTLECROFT_PLATFORM:BOOL=ON' "$made/CMakeCache.txt"; then
+  made=$PWD/build/all/build
+  cmake -S .. -B "$made" -DCMAKE_BUILD_TYPE=Release -DMYRTLECROFT_PLATFORM=OFF > build/all.log
+  cmake --build "$made" -j4 --target myrtlecroft myrtlecroft-control myrtlecroft_standin >> build/all.log
+fi
+echo "$made" > build/programs
+"$CXX" $FLAGS -I../src -I../include -I../standin -isystem "$made/proto" 3/test.cpp -o build/case3 \
+  "$made/libmyrtlecroft_standin.a" "$made/libmyrtlecroft_proto.a" $(pkg-config --libs grpc++ protobuf libxxhash)
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -6,4 +6,5 @@
 [ -x "$program" ] || sh "$review/build.sh" || exit 2
 [ -x "$program" ] || exit 2
 cd "$review/.." || exit 2
+[ -f "$review/build/programs" ] && REVIEW_PROGRAMS=$(cat "$review/build/programs") && export REVIEW_PROGRAMS
 exec "$program" "$PWD" "$folder"
