--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -166,7 +166,8 @@
   }
   TemporaryFolder(const TemporaryFolder&) = delete;
   TemporaryFolder& operator=(const TemporaryFolder&) = delete;
-  ~TemporaryFolder() {
+  ~TemporaryFolder() { remove(); }
+  void remove() const {
     std::error_code ignored;
     std::filesystem::remove_all(path_, ignored);
   }
