--- a/review/1/test.cpp
+++ b/review/1/test.cpp
@@ -43,7 +43,10 @@
   engine_pointer = &engine;
 
   TemporaryFolder temporary;
-  ServerFile file{.port = free_port(), .engine = engine.port(), .members = members.port(), .database = database.port(),
+  ServerFile file{.port = free_port(),
+                  .engine = engine.port(),
+                  .members = members.port(),
+                  .database = database.port(),
                   .settings = hub_settings()};
   write_server_file(temporary.file("config.json"), file);
   Process server;
@@ -59,21 +62,28 @@
     ledger.sent(one);
     Request request{.attempt = one, .tenant = "sunroad", .wait = "3000"};
     record.line("balancer: try %s of key %s is written", one.id.c_str(), one.key.c_str());
-    bool sent = balancer.send(id, fastcgi_request(id, request_params(request), one.body), [&](const Answer&) {
-      ledger.end(one.id);
-    });
+    bool sent = balancer.send(id, fastcgi_request(id, request_params(request), one.body),
+                              [&](const Answer&) { ledger.end(one.id); });
     bool answered = sent && balancer.wait(id, 3500, answer);
-    record.line("balancer: try %s: %s, status %d", one.id.c_str(), answered ? "answered" : "NO ANSWER", answer.status);
+    record.line("balancer: try %s: %s, status %d", one.id.c_str(), answered ? "answered" : "NO ANSWER",
+                answer.status);
     return answered;
   };
   for (int i = 0; i < kRunsBefore; ++i) {
-    Try one{.id = trace_id(++number), .request_class = "charge-record", .key = replay_key(number), .body = "charge " + std::to_string(i)};
+    Try one{.id = trace_id(++number),
+            .request_class = "charge-record",
+            .key = replay_key(number),
+            .body = "charge " + std::to_string(i)};
     Answer answer;
-    if (!exchange(1, one, answer) || answer.status != 200) throw CouldNotRun("a request before the disruption was not served");
+    if (!exchange(1, one, answer) || answer.status != 200)
+      throw CouldNotRun("a request before the disruption was not served");
     if (engine.runs(one.key) != 1) throw CouldNotRun("a request before the disruption did not run once");
   }
 
-  Try probed{.id = trace_id(++number), .request_class = "charge-record", .key = replay_key(number), .body = "charge of a trip"};
+  Try probed{.id = trace_id(++number),
+             .request_class = "charge-record",
+             .key = replay_key(number),
+             .body = "charge of a trip"};
   {
     std::lock_guard lock(engine.mutex());
     probed_id = probed.id;
@@ -84,7 +94,8 @@
   sleep_ms(1500);  // runs that were begun meanwhile end
   if (!server.running()) throw CouldNotRun("the server ended: " + server.end_text());
   int runs = engine.runs(probed.key);
-  record.line("the request was written once and ran %d times; answer: %s, status %d", runs, answered ? "yes" : "none", answer.status);
+  record.line("the request was written once and ran %d times; answer: %s, status %d", runs,
+              answered ? "yes" : "none", answer.status);
   if (disturb && engine.links() < 2) throw CouldNotRun("the server made no new link");
   server.end(SIGKILL);
   record_log(record, temporary.file("log"));
--- a/review/2/test.cpp
+++ b/review/2/test.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr int kBalancers = 8;
-constexpr int kConnections = 8;          // of the bad client
+constexpr int kConnections = 8;  // of the bad client
 constexpr int kRequestsPerConnection = 32;
 constexpr int kRounds = 5;
 constexpr int kSecondsAfter = 2;
@@ -16,10 +16,14 @@
 };
 
 // One request after the other on one connection; each waits for its final answer.
-void play_balancer(int index, int port, Ledger& ledger, Record& record, Count& count, const std::atomic<bool>& stop) {
+void play_balancer(int index, int port, Ledger& ledger, Record& record, Count& count,
+                   const std::atomic<bool>& stop) {
   Connection connection(port);
   for (std::uint64_t number = 1; !stop; ++number) {
-    Try one{.id = trace_id(static_cast<std::uint64_t>(index) << 32 | number), .request_class = "part-lookup", .key = "", .body = "look up part " + std::to_string(number)};
+    Try one{.id = trace_id(static_cast<std::uint64_t>(index) << 32 | number),
+            .request_class = "part-lookup",
+            .key = "",
+            .body = "look up part " + std::to_string(number)};
     ledger.sent(one);
     Request request{.attempt = one, .tenant = "east-array", .wait = "2000"};
     ++count.sent;
@@ -43,13 +47,17 @@
     connections.push_back(std::make_unique<Connection>(port));
     std::string bytes;
     for (int id = 1; id <= kRequestsPerConnection; ++id) {
-      Try one{.id = trace_id(0xbad0000 + static_cast<std::uint64_t>(i * 100 + id)), .request_class = "part-lookup", .key = "", .body = "nobody's"};
+      Try one{.id = trace_id(0xbad0000 + static_cast<std::uint64_t>(i * 100 + id)),
+              .request_class = "part-lookup",
+              .key = "",
+              .body = "nobody's"};
       Request request{.attempt = one, .tenant = "muon-wall", .wait = ""};
       bytes += fastcgi_request(id, request_params(request), one.body);
     }
     for (int id = 1; id <= kRequestsPerConnection; ++id) bytes += fastcgi_record(2, id, "");  // ABORT_REQUEST
     bool sent = connections.back()->open() && connections.back()->write(bytes);
-    record.line("bad client: connection %d, %d requests and as many taken back: %s", i + 1, kRequestsPerConnection, sent ? "written" : "not written");
+    record.line("bad client: connection %d, %d requests and as many taken back: %s", i + 1,
+                kRequestsPerConnection, sent ? "written" : "not written");
     sleep_ms(50);
   }
   sleep_ms(300);
@@ -66,7 +74,10 @@
   hooks.work = [](const Try&) { return Engine::Work{.ms = 40, .calls = 1}; };
   Engine engine(record, ledger, std::move(hooks));
   TemporaryFolder temporary;
-  ServerFile file{.port = free_port(), .engine = engine.port(), .members = members.port(), .database = database.port(),
+  ServerFile file{.port = free_port(),
+                  .engine = engine.port(),
+                  .members = members.port(),
+                  .database = database.port(),
                   .settings = custody_settings()};
   write_server_file(temporary.file("config.json"), file);
   Process server;
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -32,8 +32,8 @@
 #include <random>
 #include <set>
 #include <sstream>
-#include <string>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -416,9 +416,11 @@
       link_ = fd;
       ++links_;
       std::uint64_t last = std::strtoull(json_field(line, "offset").c_str(), nullptr, 10);
-      record_.line("engine: link %d, notices after %llu", links_.load(), static_cast<unsigned long long>(last));
+      record_.line("engine: link %d, notices after %llu", links_.load(),
+                   static_cast<unsigned long long>(last));
       write("{\"cmd\":\"HELLO\",\"result\":\"steady\",\"elapsed_ms\":60000}");
-      for (auto notice = notices_.upper_bound(last); notice != notices_.end(); ++notice) write(notice->second);
+      for (auto notice = notices_.upper_bound(last); notice != notices_.end(); ++notice)
+        write(notice->second);
       return true;
     }
     if (fd != link_) return false;  // replaced or broken: what still comes on it is lost
@@ -490,7 +492,8 @@
   void notify(const std::string& kind, const std::string& id, const std::string& result,
               const std::string& payload) {
     std::uint64_t number = ++last_notice_;
-    std::string line = "{\"cmd\":\"" + kind + "\",\"offset\":" + std::to_string(number) + ",\"req\":\"" + id + "\"";
+    std::string line =
+        "{\"cmd\":\"" + kind + "\",\"offset\":" + std::to_string(number) + ",\"req\":\"" + id + "\"";
     if (!result.empty()) line += ",\"result\":\"" + result + "\",\"elapsed_ms\":10";
     line += ",\"payload\":\"" + to_base64(payload) + "\"}";
     notices_[number] = line;
@@ -616,7 +619,8 @@
   }
   const char begin[8] = {0, 1, 1, 0, 0, 0, 0, 0};  // Responder, KEEP_CONN
   return fastcgi_record(1, id, std::string_view(begin, 8)) + fastcgi_record(4, id, encoded) +
-         fastcgi_record(4, id, "") + (body.empty() ? "" : fastcgi_record(5, id, body)) + fastcgi_record(5, id, "");
+         fastcgi_record(4, id, "") + (body.empty() ? "" : fastcgi_record(5, id, body)) +
+         fastcgi_record(5, id, "");
 }
 
 struct Request {
@@ -736,7 +740,8 @@
 
 inline std::string trace_id(std::uint64_t number) {
   char text[17];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number * 0x9e3779b97f4a7c15ULL | 1));
+  std::snprintf(text, sizeof text, "%016llx",
+                static_cast<unsigned long long>(number * 0x9e3779b97f4a7c15ULL | 1));
   return text;
 }
 inline std::string replay_key(std::uint64_t number) {
@@ -749,7 +754,8 @@
     if (!server.running()) throw CouldNotRun("the server ended at its start: " + server.end_text());
     Connection connection(port);
     Answer answer;
-    if (connection.send(1, fastcgi_request(1, {{"REQUEST_METHOD", "GET"}, {"SCRIPT_NAME", "/-/healthy"}}, "")) &&
+    if (connection.send(1,
+                        fastcgi_request(1, {{"REQUEST_METHOD", "GET"}, {"SCRIPT_NAME", "/-/healthy"}}, "")) &&
         connection.wait(1, 1000, answer) && answer.status == 200)
       return;
     sleep_ms(50);
@@ -768,8 +774,9 @@
   auto address = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
   std::ofstream(path) << "{\"name\":\"" << file.name << "\",\"listen\":" << address(file.port)
                       << ",\"engine\":" << address(file.engine) << ",\"members\":" << address(file.members)
-                      << ",\"db\":" << address(file.database) << ",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":"
-                      << file.stop_ms << ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                      << ",\"db\":" << address(file.database)
+                      << ",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":" << file.stop_ms
+                      << ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                       << "\"settings\":" << file.settings << "}\n";
 }
 
