Engine commands whose arrival is unknown are sent again only if a copy is harmless

What callers saw: nothing, and that was the harm.

Cause: EngineSession::can_send_again sent a RUN in doubt again once 20 observed runs of its class had each made a call, as this run could then not end without a notice. A run that makes none ends between the answer that closes the backlog and the second RUN; the engine keeps no results and runs it again. In the trace the first run ends 43 us before the second begins. A FEED in doubt was sent again by the same kind of guess and could be taken for the reply to the next call; mutating classes took the path of deduplicated ones.

Change: no rule looks at earlier runs. What may be sent twice is a type of its own, RepeatableCommand: the RUN of an idempotent class, and SKIP, which names its notice. The body of another RUN and a reply are handed over with the first copy, so nothing is left to send again. Pending commands are looked up one by one, since the end of a run can end others.

The cost, requests whose RUN or FEED is lost with the link and that now fail at their deadline, is not measured yet.

--- a/src/net/engine_client.h
+++ b/src/net/engine_client.h
@@ -16,7 +16,7 @@
   static constexpr Nanos kSilenceTimeout = 3'000 * kMs;
 
   // Up to `max_unsent` bytes of commands wait for the engine to read them. Beyond that the link ends, and
-  // after the next attach the commands that the engine does not know are sent again. A link that receives
+  // EngineSession resolves the commands whose arrival is unknown. A link that receives
   // nothing for `silence_timeout` is closed and connected anew: gauges are queried at every tick, so a
   // working engine is never silent for so long, and giving up a new link before its HELLO costs nothing.
   EngineClient(Loop& loop, service::Logger& log, const sockaddr_in& engine,
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -3,11 +3,6 @@
 #include <utility>
 
 namespace myrtlecroft::service {
-namespace {
-
-constexpr int kMinObservedRuns = 20;  // of a request class, before its observed calls are relied on
-
-}  // namespace
 
 void EngineSession::run(ServerRequest& request) {
   runs_.push_back(&request);
@@ -24,19 +19,25 @@
 
 void EngineSession::issue_command(ServerRequest& request, Command command) {
   request.command = command;
-  request.sent = false;
-  if (backlog_read_) send(request);
+  request.delivery = Delivery::kUnsent;
+  if (backlog_read_) send_first_copy(request);
 }
 
-void EngineSession::send(ServerRequest& request) {
-  request.sent = true;
-  request.delivery_is_unknown = false;
+void EngineSession::record_sent(ServerRequest& request) {
+  request.delivery = Delivery::kSent;
   request.command_number = ++last_sent_number_;
+}
+
+void EngineSession::send_first_copy(ServerRequest& request) {
+  record_sent(request);
+  const RequestClass& request_class = *request.request_class;
   switch (request.command) {
     case Command::kRun:
-      return link_.run(request.id, request.request_class->name, request.body);
+      if (request_class.idempotency == Idempotency::kIdempotent)
+        return link_.run(request.id, request_class.name, request.body);
+      return link_.run(request.id, request_class.name, std::exchange(request.body, {}));
     case Command::kFeed:
-      return link_.deliver_reply(request.id, request.payload);
+      return link_.deliver_reply(request.id, std::exchange(request.payload, {}));
     case Command::kSkip:
       return link_.skip(request.id, request.call_notice);
     case Command::kNone:
@@ -44,6 +45,17 @@
   }
 }
 
+void EngineSession::send_again(ServerRequest& request, RepeatableCommand command) {
+  record_sent(request);
+  switch (command) {
+    case RepeatableCommand::kIdempotentRun:
+      return link_.run(request.id, request.request_class->name, request.body);
+    case RepeatableCommand::kSkip:
+      request.command = Command::kSkip;
+      return link_.skip(request.id, request.call_notice);
+  }
+}
+
 void EngineSession::forget(ServerRequest& request) {
   if (by_id_.erase(request.id)) std::erase(runs_, &request);
 }
@@ -68,8 +80,9 @@
   backlog_read_ = false;
   backlog_end_token_ = 0;
   for (ServerRequest* request : runs_) {
-    request->delivery_is_unknown |= request->command != Command::kNone && request->sent &&
-                                    request->command_number > last_confirmed_number_;
+    bool is_confirmed = request->command_number <= last_confirmed_number_;
+    if (request->command != Command::kNone && request->delivery == Delivery::kSent && !is_confirmed)
+      request->delivery = Delivery::kUnknown;
   }
   if (std::exchange(test_token_, 0)) events_.test_completed(false);
 }
@@ -87,14 +100,11 @@
   if (notice.kind == Notice::Kind::kNote || found == by_id_.end()) return;
   ServerRequest& request = *found->second;
   request.command = Command::kNone;
-  request.delivery_is_unknown = false;
   if (notice.kind == Notice::Kind::kNeed) {
     request.call_notice = notice.number;
     request.payload = notice.payload;
     events_.run_needs_call(request);
   } else {
-    if (notice.outcome == Outcome::kOk || notice.outcome == Outcome::kFailed)
-      observed_calls_[request.request_class].add(request.calls);
     events_.run_ended(request, notice.outcome, notice.payload);
   }
 }
@@ -111,46 +121,56 @@
   events_.test_completed(passed);
 }
 
+// The end of one run can end others, so requests are looked up one by one.
 void EngineSession::resolve_pending_commands() {
   backlog_end_token_ = 0;
   backlog_read_ = true;
-  std::vector<ServerRequest*> runs = runs_;
-  for (ServerRequest* request : runs) {
-    if (request->command == Command::kNone) continue;
-    if (!request->sent && request->command == Command::kRun && request->answered) {
-      events_.run_ended(*request, Outcome::kIgnored, "");
-    } else if (!request->sent) {
-      send(*request);
-    } else if (request->delivery_is_unknown) {
-      bool may_send_again = can_send_again(*request);
-      if (!may_send_again && request->command == Command::kFeed &&
-          request->request_class->degraded_weight_share > 0) {
-        request->command = Command::kSkip;  // may be repeated, since it names its notice
-        may_send_again = true;
-      }
-      if (may_send_again) {
-        send(*request);
-      } else if (request->answered &&
-                 request->command == Command::kRun) {  // no notice and no deadline would end it
-        events_.run_ended(*request, Outcome::kFailed, "");
-      }
-    }
+  std::vector<std::string> ids;
+  for (const ServerRequest* request : runs_) ids.push_back(request->id);
+  ResolvedCommands resolved;
+  for (const std::string& id : ids) {
+    auto found = by_id_.find(id);
+    if (found != by_id_.end()) resolve(*found->second, resolved);
+  }
+  if (resolved.total() > 0) events_.commands_resolved(resolved);
+}
+
+void EngineSession::resolve(ServerRequest& request, ResolvedCommands& resolved) {
+  if (request.command == Command::kNone || request.delivery == Delivery::kSent) return;
+  bool is_answered_run = request.answered && request.command == Command::kRun;
+  if (request.delivery == Delivery::kUnsent) {
+    if (is_answered_run) return events_.run_ended(request, Outcome::kIgnored, "");
+    return send_first_copy(request);
   }
+  if (std::optional<RepeatableCommand> command = repeatable_command(request)) {
+    ++(request.command == Command::kFeed ? resolved.skipped : resolved.sent_again);
+    return send_again(request, *command);
+  }
+  if (!is_answered_run) {
+    ++resolved.pending;
+    return;
+  }
+  ++resolved.ended;  // no notice and no deadline would end it
+  events_.run_ended(request, Outcome::kFailed, "");
 }
 
-// Whether a command may be sent again although it may have arrived.
-bool EngineSession::can_send_again(const ServerRequest& request) {
-  const ObservedCalls& observed = observed_calls_[request.request_class];
-  bool has_enough_runs = observed.runs >= kMinObservedRuns;
+// What may be sent for a command in doubt, whether or not it arrived; nothing if no command is safe.
+std::optional<EngineSession::RepeatableCommand> EngineSession::repeatable_command(
+    const ServerRequest& request) {
+  const RequestClass& request_class = *request.request_class;
   switch (request.command) {
     case Command::kRun:
-      return request.request_class->idempotency == Idempotency::kIdempotent ||
-             (has_enough_runs && observed.min_calls >= 1 && !request.answered);
+      if (request_class.idempotency != Idempotency::kIdempotent) return std::nullopt;
+      return RepeatableCommand::kIdempotentRun;
     case Command::kFeed:
-      return has_enough_runs && observed.max_calls <= 1;
-    default:
-      return request.command == Command::kSkip;
+      if (request_class.degraded_weight_share <= 0) return std::nullopt;
+      return RepeatableCommand::kSkip;
+    case Command::kSkip:
+      return RepeatableCommand::kSkip;
+    case Command::kNone:
+      return std::nullopt;
   }
+  return std::nullopt;
 }
 
 // The engine ignored the command. A run that it does not know has not started and never will. A deployment
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -7,16 +7,15 @@
 // were never sent are sent. Commands that were sent, but are not known to have arrived, are treated as
 // follows.
 //
-// A run of an idempotent request and a skip (which names its notice) are sent again. A run that must not
-// happen twice is sent again if all observed runs of its class make a call: if it had arrived, it could not
-// have ended without a notice that asks for a call. A reply is sent again if no observed run of its class
-// makes more than one call, since it can't be mistaken for the reply to the next call; otherwise the call is
-// skipped where the class allows that. Any other command is left pending: a notice or the request's deadline
-// ends it.
+// A run of an idempotent request and a skip (which names its notice) are sent again. No other command is: the
+// engine keeps no results, so a second RUN runs a request again whose run has ended, and a second FEED, which
+// does not name its call, is taken for the reply to the next call. A notice that would rule this out may be
+// on its way, whatever earlier runs did. A reply in doubt is replaced by a skip where the class can do
+// without the call. Any other command is left pending: a notice or the request's deadline ends it. The body
+// of a run and a reply are handed over with their first copy, so that there is nothing to send again.
 #pragma once
 
-#include <algorithm>
-#include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +34,15 @@
   std::string payload;             // the result of the run, or the body of the call
 };
 
+// What became of the commands in doubt when a new link was ready.
+struct ResolvedCommands {
+  int sent_again = 0;
+  int skipped = 0;  // replies that were replaced by a skip
+  int pending = 0;  // wait for a notice or the request's deadline
+  int ended = 0;    // runs without a caller, given up
+  int total() const { return sent_again + skipped + pending + ended; }
+};
+
 // Receives the events of the engine.
 class EngineEvents {
  public:
@@ -45,6 +53,8 @@
   virtual void run_ended(ServerRequest& request, Outcome outcome, std::string_view result) = 0;
   virtual void gauges_received(const std::vector<double>& values) = 0;
   virtual void test_completed(bool passed) = 0;
+  // A new link is ready, after one broke with commands in doubt.
+  virtual void commands_resolved(const ResolvedCommands& resolved) = 0;
 };
 
 // Sends commands to the engine and matches its notices to requests.
@@ -78,28 +88,21 @@
   std::uint64_t last_notice() const { return last_notice_; }
 
  private:
+  // The commands that may be sent although an earlier copy may have arrived.
+  enum class RepeatableCommand { kIdempotentRun, kSkip };
+
   void issue_command(ServerRequest& request, Command command);
-  void send(ServerRequest& request);
+  void send_first_copy(ServerRequest& request);
+  void send_again(ServerRequest& request, RepeatableCommand command);
+  void record_sent(ServerRequest& request);
   void resolve_pending_commands();
-  bool can_send_again(const ServerRequest& request);
-
-  // The numbers of dependency calls that the observed runs of a request class made.
-  struct ObservedCalls {
-    int runs = 0;
-    int min_calls = 0;
-    int max_calls = 0;
-    void add(int calls) {
-      min_calls = runs == 0 ? calls : std::min(min_calls, calls);
-      max_calls = std::max(max_calls, calls);
-      ++runs;
-    }
-  };
+  void resolve(ServerRequest& request, ResolvedCommands& resolved);
+  static std::optional<RepeatableCommand> repeatable_command(const ServerRequest& request);
 
   Engine& link_;
   EngineEvents& events_;
   std::vector<ServerRequest*> runs_;  // in the order of their start
   std::unordered_map<std::string, ServerRequest*> by_id_;
-  std::map<const RequestClass*, ObservedCalls> observed_calls_;
   std::uint64_t last_notice_ = 0;
   std::uint64_t last_sent_number_ = 0;       // number of the last command or query sent
   std::uint64_t last_confirmed_number_ = 0;  // commands and queries up to it are known to have arrived
--- a/src/service/server_request.h
+++ b/src/service/server_request.h
@@ -32,6 +32,13 @@
 // A command to the engine about one request.
 enum class Command { kNone, kRun, kFeed, kSkip };
 
+// What is known about the arrival of a command at the engine.
+enum class Delivery {
+  kUnsent,
+  kSent,     // on the current link, or confirmed on an earlier one
+  kUnknown,  // sent on a link that broke before the engine confirmed it
+};
+
 struct KeyEntry;
 
 // The call to the dependency that a run waits for.
@@ -45,19 +52,19 @@
 // A Request with the state that the service keeps for it.
 struct ServerRequest : Request {
   // Set by the listener.
-  std::string id;  // of this attempt
-  std::string body;
-  std::string key;  // shared by attempts of one keyed request, or by reads of one subject; empty: none
+  std::string id;    // of this attempt
+  std::string body;  // handed to the engine with a run command that must not be sent twice
+  std::string key;   // shared by attempts of one keyed request, or by reads of one subject; empty: none
   AnswerSink* sink = nullptr;  // null once it is answered or its connection is gone
 
   // Set by the engine session.
   Command command = Command::kNone;  // last one sent or to be sent; kNone once a notice answered it
-  bool sent = false;                 // the command was sent, perhaps on a link that has broken
-  bool delivery_is_unknown = false;  // it is unknown whether the command arrived
+  Delivery delivery = Delivery::kUnsent;
   std::uint64_t command_number = 0;  // the command's number among all commands sent
   std::uint64_t call_notice = 0;     // the notice that asked for the call that the run waits for
-  std::string payload;               // the body of the call, then its reply
+  std::string payload;               // the body of the call, then its reply until it is sent
   bool unknown_to_engine = false;    // the engine reported that it does not know the request
+  bool run_is_in_doubt() const { return command == Command::kRun && delivery == Delivery::kUnknown; }
 
   DependencyCall dependency_call;
 
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -148,6 +148,13 @@
   gauges_at_ = ports_.clock.now();
 }
 
+void Service::commands_resolved(const ResolvedCommands& resolved) {
+  ports_.logger.write_rate_limited(
+      "engine link ready, commands in doubt " + std::to_string(resolved.total()) + ": sent again " +
+      std::to_string(resolved.sent_again) + ", replaced by a skip " + std::to_string(resolved.skipped) +
+      ", left pending " + std::to_string(resolved.pending) + ", ended " + std::to_string(resolved.ended));
+}
+
 // ---- From the clock and the operators
 
 void Service::timer_expired() {
@@ -210,8 +217,7 @@
 void Service::abandon(ServerRequest& request) {
   if (request.phase != Phase::kAbandoned) return;
   abandon_active_call(request);
-  if (request.delivery_is_unknown && request.command == Command::kRun)
-    deferred_.push_back({&request, Outcome::kFailed});
+  if (request.run_is_in_doubt()) deferred_.push_back({&request, Outcome::kFailed});
 }
 
 void Service::skip_call(Request& request) { engine_.skip(server_request(request)); }
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -93,6 +93,7 @@
   void run_ended(ServerRequest& request, Outcome outcome, std::string_view result) override;
   void gauges_received(const std::vector<double>& values) override;
   void test_completed(bool passed) override;
+  void commands_resolved(const ResolvedCommands& resolved) override;
 
   // ControllerActions, called by the Controller.
   void run(Request& request) override;
