Sockets name requests by id, so that none reads a request that the service has freed

Cause: the service frees a queued or coalesced request when its caller leaves. handle_abort told the service so, and then sent the END_REQUEST; send_answer computed the time for reading it from the freed ServerRequest and, without a client deadline, followed its pointer to the request class.

Change: src/net keeps no pointer to a request that it handed over. OpenRequest holds the request's id and the deadline as values; Service::caller_disconnected and call_completed take an id and do nothing if the request is gone. The database client names its calls by id as well, and takes calls to report as unreachable one by one.

--- a/src/net/database_client.cpp
+++ b/src/net/database_client.cpp
@@ -1,7 +1,6 @@
 #include "net/database_client.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -28,17 +27,17 @@
   // then by the number of pending calls.
   std::pair<bool, std::size_t> load() const { return {connection_.unsent() > 0, pending_calls_.size()}; }
 
-  void call(service::ServerRequest& request, std::string_view body, Nanos timeout) {
-    pending_calls_[request.id] = &request;
-    used_request_ids_.insert(request.id);
-    connection_.write(encode_query(request.id, std::max<Nanos>(1, (timeout + kMs - 1) / kMs), body));
+  void call(const std::string& request_id, std::string_view body, Nanos timeout) {
+    pending_calls_.insert(request_id);
+    used_request_ids_.insert(request_id);
+    connection_.write(encode_query(request_id, std::max<Nanos>(1, (timeout + kMs - 1) / kMs), body));
   }
 
   // Closing the connection cancels the call. If other calls are pending on it, a cancel line is sent instead,
   // and the connection closes after the last of them.
-  void abandon_call(service::ServerRequest& request) {
-    if (!pending_calls_.erase(request.id)) return;
-    if (!pending_calls_.empty()) connection_.write(encode_cancel(request.id));
+  void abandon_call(const std::string& request_id) {
+    if (!pending_calls_.erase(request_id)) return;
+    if (!pending_calls_.empty()) connection_.write(encode_cancel(request_id));
     retire(CloseReason::kSpent);
   }
 
@@ -57,15 +56,13 @@
     while (!connection_.closing() && consumed < bytes.size() &&
            (state = read_database_reply(bytes.substr(consumed), reply)) == LineState::kComplete) {
       consumed += reply.size;
-      auto entry = pending_calls_.find(std::string(reply.id));
-      if (entry == pending_calls_.end()) {
+      std::string request_id(reply.id);
+      if (!pending_calls_.erase(request_id)) {
         retired_ = true;  // a duplicate or unexpected reply: no further calls on this connection
         continue;
       }
-      service::ServerRequest& request = *entry->second;
-      pending_calls_.erase(entry);
       if (pending_calls_.empty()) retire(CloseReason::kDone);
-      database_.service_->call_completed(request, reply.result, std::string(reply.body));
+      database_.service_->call_completed(request_id, reply.result, std::string(reply.body));
     }
     if (state == LineState::kMalformed) connection_.end(CloseReason::kMalformed);
     if (connection_.closing()) return bytes.size();
@@ -89,9 +86,8 @@
     database_.channels_.erase(entry);
     database_.ending_channel_ = this;
     while (!pending_calls_.empty()) {
-      service::ServerRequest& request = *pending_calls_.begin()->second;
-      pending_calls_.erase(pending_calls_.begin());
-      database_.service_->call_completed(request, result, "");
+      std::string request_id = pending_calls_.extract(pending_calls_.begin()).value();
+      database_.service_->call_completed(request_id, result, "");
     }
     database_.ending_channel_ = nullptr;
   }
@@ -100,7 +96,7 @@
   DatabaseClient& database_;
   Connection connection_;
   Timer partial_reply_timer_;
-  std::map<std::string, service::ServerRequest*> pending_calls_;
+  std::set<std::string> pending_calls_;     // ids of the requests
   std::set<std::string> used_request_ids_;  // a late reply to these is possible
   bool retired_ = false;
 };
@@ -132,21 +128,23 @@
   return best;
 }
 
-void DatabaseClient::call(service::ServerRequest& request, std::string_view body, Nanos timeout) {
-  if (Channel* channel = channel_for(request.id)) return channel->call(request, body, timeout);
-  unreachable_requests_.push_back(&request);
+void DatabaseClient::call(const std::string& request_id, std::string_view body, Nanos timeout) {
+  if (Channel* channel = channel_for(request_id)) return channel->call(request_id, body, timeout);
+  unreachable_requests_.push_back(request_id);
   report_timer_.set(0);
 }
 
-void DatabaseClient::abandon_call(service::ServerRequest& request) {
-  std::erase(unreachable_requests_, &request);
-  if (ending_channel_) ending_channel_->abandon_call(request);
-  for (auto& channel : channels_) channel->abandon_call(request);
+void DatabaseClient::abandon_call(const std::string& request_id) {
+  std::erase(unreachable_requests_, request_id);
+  if (ending_channel_) ending_channel_->abandon_call(request_id);
+  for (auto& channel : channels_) channel->abandon_call(request_id);
 }
 
 void DatabaseClient::report_unreachable_calls() {
-  for (service::ServerRequest* request : std::exchange(unreachable_requests_, {})) {
-    service_->call_completed(*request, service::CallResult::kUnreachable, "");
+  while (!unreachable_requests_.empty()) {
+    std::string request_id = std::move(unreachable_requests_.front());
+    unreachable_requests_.pop_front();
+    service_->call_completed(request_id, service::CallResult::kUnreachable, "");
   }
 }
 
--- a/src/net/database_client.h
+++ b/src/net/database_client.h
@@ -6,6 +6,7 @@
 // connection.
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,8 +27,8 @@
   // Sets the address for new connections. Pending calls stay on their connections.
   void move(const sockaddr_in& database);
 
-  void call(service::ServerRequest& request, std::string_view body, Nanos timeout) override;
-  void abandon_call(service::ServerRequest& request) override;
+  void call(const std::string& request_id, std::string_view body, Nanos timeout) override;
+  void abandon_call(const std::string& request_id) override;
 
  private:
   class Channel;
@@ -41,8 +42,8 @@
   std::size_t max_connections_;
   service::Service* service_ = nullptr;
   std::vector<std::unique_ptr<Channel>> channels_;
-  Channel* ending_channel_ = nullptr;                          // has ended; its calls are being completed
-  std::vector<service::ServerRequest*> unreachable_requests_;  // completed from the event loop
+  Channel* ending_channel_ = nullptr;             // has ended; its calls are being completed
+  std::deque<std::string> unreachable_requests_;  // ids; completed from the event loop
   Timer report_timer_;
 };
 
--- a/src/net/fastcgi_server.cpp
+++ b/src/net/fastcgi_server.cpp
@@ -119,7 +119,8 @@
   BalancerConnection& peer;
   std::uint16_t id;
   bool keep_connection;
-  service::ServerRequest* server_request = nullptr;  // null for a health check
+  std::string request_id;   // of the request that the service handles; empty: a health check
+  Nanos read_deadline = 0;  // until when the caller waits for the answer; 0: unknown
 };
 
 // A connection from a balancer.
@@ -188,10 +189,10 @@
     send_answer(open_request, {});
   }
   void caller_disconnected(OpenRequest& open_request) {
-    if (open_request.server_request) {
-      server_.service_->caller_disconnected(*open_request.server_request);
-    } else {
+    if (open_request.request_id.empty()) {
       server_.service_->health_check_disconnected(open_request);
+    } else {
+      server_.service_->caller_disconnected(open_request.request_id, open_request);
     }
   }
   peers::ConnectionProgress current_progress() const override {
@@ -250,8 +251,7 @@
   void reply(std::string_view bytes) override { connection_.write(bytes); }
 
   void send_answer(OpenRequest& open_request, const service::FinalAnswer& answer) {
-    extend_answer_read_deadline(open_request.server_request);
-    open_request.server_request = nullptr;
+    extend_answer_read_deadline(open_request.read_deadline);
     connection_.write(encode_answer(open_request.id, encode_cgi_output(answer), ProtocolStatus::kComplete));
     bool keep_connection = open_request.keep_connection;
     open_requests_.erase(open_request.id);
@@ -279,16 +279,12 @@
     return has_partial_record_ ? 2 * reader_.record_count() + 3 : 0;
   }
 
-  // Gives the caller until its own deadline to read the answer.
-  void extend_answer_read_deadline(const service::ServerRequest* server_request) {
+  // Gives the caller until its own deadline to read the answer. 0: it gave none.
+  void extend_answer_read_deadline(Nanos read_deadline) {
     has_answered_ = true;
     Nanos now = server_.loop_.now();
-    Nanos deadline = now + kDefaultAnswerWait;
-    if (server_request)
-      deadline = server_request->client_deadline
-                     ? server_request->client_deadline
-                     : server_request->arrived + server_request->request_class->client_timeout;
-    answer_read_deadline_ = std::max(answer_read_deadline_, std::min(deadline, now + kMaxAnswerWait));
+    if (read_deadline == 0) read_deadline = now + kDefaultAnswerWait;
+    answer_read_deadline_ = std::max(answer_read_deadline_, std::min(read_deadline, now + kMaxAnswerWait));
   }
 
   // Begins the lingering close when nothing is left to do, or schedules it. A client whose input was rejected
@@ -349,7 +345,10 @@
   if (client_number >= 0)
     server_.slow_client_policy_.set_balancer(account, {.address = address_, .number = client_number});
   server_request->sink = &open_request;
-  open_request.server_request = server_request.get();
+  open_request.request_id = server_request->id;
+  open_request.read_deadline = server_request->client_deadline
+                                   ? server_request->client_deadline
+                                   : server_request->arrived + server_request->request_class->client_timeout;
   server_.service_->request_received(std::move(server_request));
 }
 
--- a/src/service/dependency_calls.cpp
+++ b/src/service/dependency_calls.cpp
@@ -14,8 +14,11 @@
 
 }  // namespace
 
-void Service::call_completed(ServerRequest& request, CallResult result, std::string body) {
+void Service::call_completed(const std::string& id, CallResult result, std::string body) {
   handle_event([&] {
+    auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    ServerRequest& request = *found->second;
     if (!request.dependency_call.active || request.dependency_call.result) return;
     switch (result) {
       case CallResult::kSucceeded:
@@ -50,7 +53,7 @@
 
 void Service::abandon_active_call(ServerRequest& request) {
   if (!request.dependency_call.active) return;
-  ports_.dependency.abandon_call(request);
+  ports_.dependency.abandon_call(request.id);
   std::erase(calls_, &request);
   request.dependency_call.active = false;
 }
@@ -60,7 +63,7 @@
   std::vector<ServerRequest*> calls = calls_;
   for (ServerRequest* request : calls) {
     if (!request->dependency_call.active || request->dependency_call.deadline > now_) continue;
-    if (!request->dependency_call.result) ports_.dependency.abandon_call(*request);
+    if (!request->dependency_call.result) ports_.dependency.abandon_call(request->id);
     end_call(*request, request->dependency_call.result.value_or(Outcome::kTimedOut));
   }
 }
@@ -72,7 +75,7 @@
   request.dependency_call.started = now_;
   request.dependency_call.deadline = now_ + max_duration;
   calls_.push_back(&request);
-  ports_.dependency.call(request, request.payload, max_duration);
+  ports_.dependency.call(request.id, request.payload, max_duration);
 }
 
 bool Service::abandon_call(Request& base_request) {
--- a/src/service/ports.h
+++ b/src/service/ports.h
@@ -1,6 +1,6 @@
 // The interfaces of the service to the clock, sockets, log and disk. src/net and src/recovery implement them,
 // and tests use fakes. All calls are on the loop's thread; no implementation calls the service back from
-// within a call.
+// within a call, or keeps a reference to a request: it names the request by its id.
 #pragma once
 
 #include <string>
@@ -42,12 +42,12 @@
   virtual void test(std::uint64_t token) = 0;
 };
 
-// The client of the dependency.
+// The client of the dependency. A request is named by its id: it may end while its call is in flight.
 class Dependency {
  public:
   virtual ~Dependency() = default;
-  virtual void call(ServerRequest& request, std::string_view body, Nanos max_duration) = 0;
-  virtual void abandon_call(ServerRequest& request) = 0;  // the reply is discarded
+  virtual void call(const std::string& request_id, std::string_view body, Nanos max_duration) = 0;
+  virtual void abandon_call(const std::string& request_id) = 0;  // the reply is discarded
 };
 
 // Reports health to the membership service.
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -80,8 +80,11 @@
   });
 }
 
-void Service::caller_disconnected(ServerRequest& request) {
+void Service::caller_disconnected(const std::string& id, const AnswerSink& sink) {
   handle_event([&] {
+    auto found = requests_.find(id);
+    if (found == requests_.end() || found->second->sink != &sink) return;
+    ServerRequest& request = *found->second;
     request.sink = nullptr;
     --unanswered_;
     controller_->caller_disconnected(request, now_);
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -67,14 +67,14 @@
   // Called by the listener once the last byte of a request was read. The sink of the request gets one answer,
   // unless the caller disconnects first.
   void request_received(std::unique_ptr<ServerRequest> request);
-  // The sink of the request is not used any more.
-  void caller_disconnected(ServerRequest& request);
+  // The caller of the request does not wait any more, and the sink gets no answer. No effect if it got one.
+  void caller_disconnected(const std::string& id, const AnswerSink& sink);
   // `probe`: the engine does a self-test before the answer.
   void health_check(AnswerSink& sink, bool probe);
   // The sink gets no answer any more.
   void health_check_disconnected(AnswerSink& sink);
   // Called by the dependency's client.
-  void call_completed(ServerRequest& request, CallResult result, std::string body);
+  void call_completed(const std::string& id, CallResult result, std::string body);
   // Called by the idempotency log. `durable`: the intent of the request is known to be on disk.
   void intent_recorded(const std::string& id, bool durable);
   // Called by the idempotency log before any request is received, for each request of an earlier incarnation.
--- a/tests/dependency_calls_test.cpp
+++ b/tests/dependency_calls_test.cpp
@@ -14,7 +14,7 @@
   Caller& caller = harness.read("a", kRequiredCallClass, "key");
   harness.request_call("a");
   EXPECT_EQ(harness.count("call a"), 1);
-  harness.service.call_completed(*caller.request, CallResult::kSucceeded, "rows");
+  harness.service.call_completed(caller.id, CallResult::kSucceeded, "rows");
   EXPECT_EQ(harness.count("feed a rows"), 1);
   harness.done("a");
   EXPECT_EQ(caller.single_answer(), "completed result");
@@ -35,7 +35,7 @@
   harness.engine_up();
   Caller& caller = harness.read("a", kRequiredCallClass, "key");
   harness.request_call("a");
-  harness.service.call_completed(*caller.request, CallResult::kConnectionLost, "");
+  harness.service.call_completed(caller.id, CallResult::kConnectionLost, "");
   EXPECT_EQ(harness.count("call a"), 1);
   EXPECT_EQ(caller.single_answer(), "terminated");
 }
@@ -45,7 +45,7 @@
   harness.engine_up();
   Caller& caller = harness.read("a", kRequiredCallClass, "key");
   harness.request_call("a");
-  harness.service.call_completed(*caller.request, CallResult::kAtCapacity, "");
+  harness.service.call_completed(caller.id, CallResult::kAtCapacity, "");
   EXPECT_EQ(harness.count("call a"), 1);
   harness.advance_time(50 * kMs);
   EXPECT_EQ(harness.count("call a"), 2);
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -465,7 +465,7 @@
     const std::string reply = id + " ROWS 3\r\nnew\r\n";
     service::ServerRequest& request = *harness.read(id, kOptionalCallClass).request;
     harness.request_call(id);
-    database.call(request, "x", 250 * kMs);
+    database.call(request.id, "x", 250 * kMs);
     TestSocket peer = accept_connection(listener);
     ASSERT_TRUE(receives(peer, "Q " + id));
     peer.write(reply.substr(0, cut));
@@ -489,15 +489,15 @@
     std::string id = i ? "b" : "a";
     requests[i] = harness.read(id, kOptionalCallClass).request;
     harness.request_call(id);
-    database.call(*requests[i], "x", 250 * kMs);
+    database.call(requests[i]->id, "x", 250 * kMs);
   }
   ASSERT_EQ(harness.count("call a") + harness.count("call b"), 2);
   TestSocket shared_connection = accept_connection(listener);
   ASSERT_TRUE(receives(shared_connection, "Q b"));
-  harness.on_call = [&](service::ServerRequest& request) {
-    if (&request != requests[0]) return;
-    database.abandon_call(*requests[1]);
-    database.call(*requests[1], "again", 250 * kMs);
+  harness.on_call = [&](const std::string& request_id) {
+    if (request_id != requests[0]->id) return;
+    database.abandon_call(requests[1]->id);
+    database.call(requests[1]->id, "again", 250 * kMs);
   };
   shared_connection.reset();
   TestSocket new_connection = accept_connection(listener);
--- a/tests/engine_commands_test.cpp
+++ b/tests/engine_commands_test.cpp
@@ -61,9 +61,9 @@
     if (arrives(id) && run != runs_.end() && run->second.call_notice == notice)
       run->second.awaited_call.clear();
   }
-  void call(service::ServerRequest& request, std::string_view body, Nanos max_duration) override {
-    ServiceHarness::call(request, body, max_duration);
-    replies_.push_back({&request, "reply to " + std::string(body)});
+  void call(const std::string& request_id, std::string_view body, Nanos max_duration) override {
+    ServiceHarness::call(request_id, body, max_duration);
+    replies_.push_back({request_id, "reply to " + std::string(body)});
   }
 
   // Lets a run go on to its next call or its end, unless it waits. The notice is delivered later.
@@ -84,7 +84,7 @@
   void deliver_notices() {
     for (const service::Notice& notice : std::exchange(undelivered_, {})) service.engine().notice(notice);
     for (const Reply& reply : std::exchange(replies_, {}))
-      service.call_completed(*reply.request, CallResult::kSucceeded, reply.body);
+      service.call_completed(reply.request_id, CallResult::kSucceeded, reply.body);
   }
   // Breaks the link once the watched command was sent, and connects again.
   void break_link_if_due() {
@@ -109,7 +109,7 @@
     std::uint64_t call_notice = 0;
   };
   struct Reply {
-    service::ServerRequest* request;
+    std::string request_id;
     std::string body;
   };
 
--- a/tests/engine_link_test.cpp
+++ b/tests/engine_link_test.cpp
@@ -64,9 +64,9 @@
   harness.engine_up();
   Caller& before_break = harness.read("a", kWriteClass, "key");
   Caller& after_break = harness.read("b", kWriteClass, "other");
-  harness.service.caller_disconnected(*before_break.request);
+  harness.service.caller_disconnected(before_break.id, before_break);
   harness.reconnect_engine();
-  harness.service.caller_disconnected(*after_break.request);
+  harness.service.caller_disconnected(after_break.id, after_break);
   harness.read("c");
   harness.read("d");
   EXPECT_EQ(harness.count("run c"), 1);
@@ -94,7 +94,7 @@
   harness.engine_up();
   Caller& caller = harness.read("a", kRequiredCallClass, "key");
   harness.request_call("a");
-  harness.service.call_completed(*caller.request, CallResult::kSucceeded, "rows");
+  harness.service.call_completed(caller.id, CallResult::kSucceeded, "rows");
   EXPECT_EQ(harness.count("feed a rows"), 1);
   harness.reconnect_engine();
   EXPECT_EQ(harness.count("feed a rows"), 1);
@@ -113,13 +113,13 @@
     Caller& caller = harness.read(id, kRequiredCallClass, id);
     harness.request_call(id);
     harness.advance_time(100 * kMs);
-    harness.service.call_completed(*caller.request, CallResult::kSucceeded, "rows");
+    harness.service.call_completed(caller.id, CallResult::kSucceeded, "rows");
     harness.done(id);
   }
   harness.advance_time(kSecond);
   Caller& awaiting = harness.read("a", kRequiredCallClass, "key");
   harness.request_call("a");
-  harness.service.call_completed(*awaiting.request, CallResult::kSucceeded, "rows");
+  harness.service.call_completed(awaiting.id, CallResult::kSucceeded, "rows");
   Caller& running = harness.read("b", kRequiredCallClass, "other");
   harness.reconnect_engine();
   EXPECT_EQ(harness.count("feed a rows"), 1);
@@ -135,7 +135,7 @@
   harness.engine_up();
   Caller& caller = harness.read("a", kOptionalCallClass);
   harness.request_call("a");
-  harness.service.call_completed(*caller.request, CallResult::kSucceeded, "rows");
+  harness.service.call_completed(caller.id, CallResult::kSucceeded, "rows");
   harness.reconnect_engine();
   EXPECT_EQ(harness.count("feed a rows"), 1);
   EXPECT_EQ(harness.count("skip a"), 1);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -27,7 +27,8 @@
   std::string single_answer() const {
     return answers.size() == 1 ? answers[0] : std::to_string(answers.size());
   }
-  service::ServerRequest* request = nullptr;
+  std::string id;                             // of its request
+  service::ServerRequest* request = nullptr;  // valid until the service has done with it
   std::vector<std::string> answers;
   bool unrecognized = false;
 };
@@ -68,6 +69,7 @@
                const std::string& body = "") {
     auto request = std::make_unique<service::ServerRequest>();
     Caller& caller = callers.emplace_back();
+    caller.id = id;
     caller.request = request.get();
     request->id = id;
     request->key = key;
@@ -112,11 +114,11 @@
   void skip(std::string_view id, std::uint64_t) override { note("skip ", id); }
   void query_gauges(std::uint64_t token) override { last_token = token; }
   void test(std::uint64_t token) override { did.push_back("test"), test_token = token; }
-  void call(service::ServerRequest& request, std::string_view, Nanos) override {
-    note("call ", request.id);
-    if (on_call) on_call(request);
+  void call(const std::string& request_id, std::string_view, Nanos) override {
+    note("call ", request_id);
+    if (on_call) on_call(request_id);
   }
-  void abandon_call(service::ServerRequest& request) override { note("give up ", request.id); }
+  void abandon_call(const std::string& request_id) override { note("give up ", request_id); }
   void report(bool is_healthy) override { healthy = is_healthy; }
   void line(const std::string&) override {}
   void write_rate_limited(const std::string&) override {}
@@ -130,7 +132,7 @@
   bool healthy = false;
   std::deque<Caller> callers;
   std::vector<std::string> did;
-  std::function<void(service::ServerRequest&)> on_call;
+  std::function<void(const std::string& request_id)> on_call;
   service::Service service;
 
  private:
--- a/tests/keyed_requests_test.cpp
+++ b/tests/keyed_requests_test.cpp
@@ -106,7 +106,7 @@
   harness.read("r2");
   Caller& queued = harness.read("a", kWriteClass, "key", kSecond);
   Caller& waiting = harness.read("b", kWriteClass, "key", 3 * kSecond);
-  harness.service.caller_disconnected(*queued.request);
+  harness.service.caller_disconnected(queued.id, queued);
   EXPECT_EQ(waiting.single_answer(), "terminated");  // the request it waits for will not run
   harness.done("r1");
   harness.done("r2");
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -391,9 +391,9 @@
 TEST_F(DatabaseClientTest, CallsUseSeparateConnectionsSoThatAMalformedReplyFailsOne) {
   service::ServerRequest& first_request = request_needing_call("a");
   service::ServerRequest& second_request = request_needing_call("b");
-  database.call(first_request, "x", 250 * kMs);
+  database.call(first_request.id, "x", 250 * kMs);
   TestSocket first_connection = accept();
-  database.call(second_request, "yz", 250 * kMs);
+  database.call(second_request.id, "yz", 250 * kMs);
   TestSocket second_connection = accept();
   EXPECT_TRUE(receives(first_connection, "Q a 250 1\r\nx\r\n"));
   EXPECT_TRUE(receives(second_connection, "Q b 250 2\r\nyz\r\n"));
@@ -404,7 +404,7 @@
 }
 
 TEST_F(DatabaseClientTest, CallsShareConnectionsOnceAllAreInUse) {
-  for (const char* id : {"a", "b", "c", "d", "e"}) database.call(request_needing_call(id), "x", 250 * kMs);
+  for (const char* id : {"a", "b", "c", "d", "e"}) database.call(request_needing_call(id).id, "x", 250 * kMs);
   std::vector<TestSocket> peers;
   for (int i = 0; i < 4; ++i) peers.push_back(accept());
   run_loop_for(20 * kMs);
@@ -413,7 +413,7 @@
 
 TEST_F(DatabaseClientTest, UnterminatedReplyFailsItsCallSoon) {
   service::ServerRequest& request = request_needing_call("a");
-  database.call(request, "x", 60 * kSecond);
+  database.call(request.id, "x", 60 * kSecond);
   TestSocket peer = accept();
   peer.write("a ROWS 20\r\nshort");
   EXPECT_TRUE(eventually([&] { return request.lost_call_count > 0; }));
@@ -422,12 +422,12 @@
 // The request calls again. A duplicate of its first reply must not be taken for the reply to the second call.
 TEST_F(DatabaseClientTest, DuplicateReplyIsNotMatchedToTheNextCall) {
   service::ServerRequest& request = request_needing_call("a");
-  database.call(request, "first", 250 * kMs);
+  database.call(request.id, "first", 250 * kMs);
   TestSocket first_connection = accept();
   first_connection.write("0123456789abcdef ROWS 1\r\nn\r\na ROWS 3\r\nold\r\n");
   ASSERT_TRUE(eventually([&] { return harness.count("feed a old") == 1; }));
   request.dependency_call.active = true;
-  database.call(request, "second", 250 * kMs);
+  database.call(request.id, "second", 250 * kMs);
   TestSocket second_connection = accept();
   first_connection.try_write("a ROWS 3\r\nold\r\n");
   run_loop_for(20 * kMs);
@@ -436,10 +436,10 @@
 
 TEST_F(DatabaseClientTest, ReplyToAnAbandonedCallIsNotMatchedToTheNextCall) {
   service::ServerRequest& request = request_needing_call("a");
-  database.call(request, "first", 250 * kMs);
+  database.call(request.id, "first", 250 * kMs);
   TestSocket first_connection = accept();
-  database.abandon_call(request);
-  database.call(request, "second", 250 * kMs);
+  database.abandon_call(request.id);
+  database.call(request.id, "second", 250 * kMs);
   TestSocket second_connection = accept();
   first_connection.try_write("a ROWS 3\r\nold\r\n");
   run_loop_for(20 * kMs);
@@ -452,7 +452,7 @@
 // looked like one that had run.
 TEST_F(DatabaseClientTest, CallsAreNotSentOnConnectionsThatWereIdle) {
   for (const char* id : {"a", "b"}) {
-    database.call(request_needing_call(id), "x", 250 * kMs);
+    database.call(request_needing_call(id).id, "x", 250 * kMs);
     TestSocket peer = accept();
     EXPECT_TRUE(receives(peer, std::string("Q ") + id));
     peer.write(std::string(id) + " ROWS 1\r\nr\r\n");
@@ -461,11 +461,11 @@
 }
 
 TEST_F(DatabaseClientTest, AfterAMoveNewCallsUseTheNewAddressAndPendingOnesFinishOnTheOld) {
-  database.call(request_needing_call("a"), "x", 250 * kMs);
+  database.call(request_needing_call("a").id, "x", 250 * kMs);
   TestSocket old_connection = accept();
   TestSocket new_listener;
   database.move(at_port(new_listener.listen()));
-  database.call(request_needing_call("b"), "y", 250 * kMs);
+  database.call(request_needing_call("b").id, "y", 250 * kMs);
   TestSocket new_connection = accept_connection(new_listener);
   EXPECT_TRUE(receives(new_connection, "Q b"));
   old_connection.write("a ROWS 1\r\nr\r\n");
@@ -474,12 +474,12 @@
 
 TEST_F(DatabaseClientTest, RefusedConnectionProvesThatACallDidNotRunAndABrokenOneDoesNot) {
   service::ServerRequest& request = request_needing_call("a");
-  database.call(request, "x", 250 * kMs);
+  database.call(request.id, "x", 250 * kMs);
   accept().close();
   EXPECT_TRUE(eventually([&] { return request.lost_call_count > 0; }));
   listener.close();
   service::ServerRequest& other = request_needing_call("b");
-  database.call(other, "x", 250 * kMs);
+  database.call(other.id, "x", 250 * kMs);
   EXPECT_TRUE(eventually([&] { return other.dependency_call.result == Outcome::kUnreachable; }));
   EXPECT_TRUE(logged("database connection ended: refused"));
 }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -62,7 +62,7 @@
   harness.read("a");
   harness.read("b");
   Caller& queued = harness.read("c");
-  harness.service.caller_disconnected(*queued.request);
+  harness.service.caller_disconnected(queued.id, queued);
   harness.done("a");
   harness.done("b");
   EXPECT_EQ(harness.count("run c"), 0);
--- a/tests/slow_peers_test.cpp
+++ b/tests/slow_peers_test.cpp
@@ -325,12 +325,12 @@
   service::ServerRequest stuck_call, healthy_call, third_call;
   stuck_call.id = "00000000000000aa", healthy_call.id = "00000000000000bb",
   third_call.id = "00000000000000cc";
-  database.call(stuck_call, std::string(2'000'000, 'x'), kSecond);
+  database.call(stuck_call.id, std::string(2'000'000, 'x'), kSecond);
   TestSocket first = accept_connection(listener);
-  database.call(healthy_call, "select", kSecond);
+  database.call(healthy_call.id, "select", kSecond);
   TestSocket second = accept_connection(listener);
   EXPECT_TRUE(receives(second, "select"));
-  database.call(third_call, "another", kSecond);
+  database.call(third_call.id, "another", kSecond);
   EXPECT_TRUE(receives(second, "another"));
 }
 
