Plain statements in place of comma operators and nested assignments

Change: FastCgiServer::evict in place of three copies of its two lines; the rest split into statements. No behaviour changes.

--- a/src/net/fastcgi_server.cpp
+++ b/src/net/fastcgi_server.cpp
@@ -490,20 +490,19 @@
 bool FastCgiServer::evict_connection() {
   for (BalancerConnection* peer : closing_connections_) {
     if (peer->connection().unsent() > 0) continue;
-    peer->connection().end(CloseReason::kCrowded);
-    return remove_from_list(*peer), true;
+    evict(*peer);
+    return true;
   }
   if (peers::ConnectionAccount* slow = slow_client_policy_.slowest_connection()) {
-    auto& peer = static_cast<BalancerConnection&>(slow_client_policy_.connection_of(*slow));
-    peer.connection().end(CloseReason::kCrowded);
-    return remove_from_list(peer), true;
+    evict(static_cast<BalancerConnection&>(slow_client_policy_.connection_of(*slow)));
+    return true;
   }
   auto evict_from = [this](std::list<BalancerConnection*>& list, Nanos min) {
     for (BalancerConnection* peer : list) {
       if (loop_.now() - peer->listed_since < min) return false;
       if (!peer->is_quiescent()) continue;
-      peer->connection().end(CloseReason::kCrowded);
-      return remove_from_list(*peer), true;
+      evict(*peer);
+      return true;
     }
     return false;
   };
@@ -511,6 +510,11 @@
          evict_from(unfinished_connections_, 0);
 }
 
+void FastCgiServer::evict(BalancerConnection& peer) {
+  peer.connection().end(CloseReason::kCrowded);
+  remove_from_list(peer);
+}
+
 void FastCgiServer::remove_from_list(BalancerConnection& peer) {
   if (peer.current_list) peer.current_list->erase(peer.list_position);
   peer.current_list = nullptr;
--- a/src/net/fastcgi_server.h
+++ b/src/net/fastcgi_server.h
@@ -47,6 +47,7 @@
   bool accept_backlog();
   void update_list_membership(BalancerConnection& peer);
   bool evict_connection();
+  void evict(BalancerConnection& peer);
   void update_memory_use(BalancerConnection& peer);
   void remove_from_list(BalancerConnection& peer);
   void close_idle_connections();
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -66,7 +66,8 @@
 
 bool EngineSession::test() {
   if (!backlog_read_) return false;
-  link_.test(test_token_ = ++last_sent_number_);
+  test_token_ = ++last_sent_number_;
+  link_.test(test_token_);
   return true;
 }
 
@@ -89,7 +90,8 @@
 
 void EngineSession::hello(bool booting, Nanos age) {
   if (!std::exchange(hello_received_, true)) events_.engine_up(booting, age);
-  link_.query_gauges(backlog_end_token_ = ++last_sent_number_);
+  backlog_end_token_ = ++last_sent_number_;
+  link_.query_gauges(backlog_end_token_);
 }
 
 // A backlog may repeat notices that were read before; each notice is handled once.
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -113,7 +113,10 @@
   }
   void skip(std::string_view id, std::uint64_t) override { note("skip ", id); }
   void query_gauges(std::uint64_t token) override { last_token = token; }
-  void test(std::uint64_t token) override { did.push_back("test"), test_token = token; }
+  void test(std::uint64_t token) override {
+    did.push_back("test");
+    test_token = token;
+  }
   void call(const std::string& request_id, std::string_view, Nanos) override {
     note("call ", request_id);
     if (on_call) on_call(request_id);
