Engine commands wait for the next link once the present one is known to be broken

What callers saw: after a break of the engine link, some requests that must not run twice waited for their deadline although their RUN or FEED had never been sent.

Cause: the end of a link is reported to EngineSession a turn of the loop after Connection::end(). Commands issued by the other events of that turn were written to the ended connection, which drops them, and counted as perhaps arrived. The rule that sent doubtful commands again had hidden it.

Change: Engine::is_open tells whether the link is up; EngineSession leaves a command unsent otherwise, and the next link resolves it.

--- a/src/net/engine_client.h
+++ b/src/net/engine_client.h
@@ -28,6 +28,7 @@
   // sent on the old one are confirmed, or until a short timeout.
   void move(const sockaddr_in& engine);
 
+  bool is_open() const override { return connection_ && connection_->was_open() && !connection_->closing(); }
   void attach(std::uint64_t last_notice) override { send(encode_attach(last_notice)); }
   void run(std::string_view id, std::string_view request_class, std::string_view body) override {
     send(encode_run(id, request_class, body));
--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -20,7 +20,7 @@
 void EngineSession::issue_command(ServerRequest& request, Command command) {
   request.command = command;
   request.delivery = Delivery::kUnsent;
-  if (backlog_read_) send_first_copy(request);
+  if (can_send()) send_first_copy(request);
 }
 
 void EngineSession::record_sent(ServerRequest& request) {
@@ -61,11 +61,11 @@
 }
 
 void EngineSession::request_gauges() {
-  if (backlog_read_) link_.query_gauges(++last_sent_number_);
+  if (can_send()) link_.query_gauges(++last_sent_number_);
 }
 
 bool EngineSession::test() {
-  if (!backlog_read_) return false;
+  if (!can_send()) return false;
   test_token_ = ++last_sent_number_;
   link_.test(test_token_);
   return true;
@@ -139,6 +139,7 @@
 
 void EngineSession::resolve(ServerRequest& request, ResolvedCommands& resolved) {
   if (request.command == Command::kNone || request.delivery == Delivery::kSent) return;
+  if (!can_send()) return;  // the new link broke meanwhile; the next one resolves the rest
   bool is_answered_run = request.answered && request.command == Command::kRun;
   if (request.delivery == Delivery::kUnsent) {
     if (is_answered_run) return events_.run_ended(request, Outcome::kIgnored, "");
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -4,8 +4,8 @@
 // After the link broke it is unknown which of the last commands arrived. A command is known to have arrived
 // once the answer to a later gauge query was received. On a new link nothing is sent until the backlog of
 // notices is read; the answer to a gauge query sent right after HELLO marks its end. Then the commands that
-// were never sent are sent. Commands that were sent, but are not known to have arrived, are treated as
-// follows.
+// were never sent are sent; a command is not sent on a link that is known to be broken. Commands that were
+// sent, but are not known to have arrived, are treated as follows.
 //
 // A run of an idempotent request and a skip (which names its notice) are sent again. No other command is: the
 // engine keeps no results, so a second RUN runs a request again whose run has ended, and a second FEED, which
@@ -91,6 +91,7 @@
   // The commands that may be sent although an earlier copy may have arrived.
   enum class RepeatableCommand { kIdempotentRun, kSkip };
 
+  bool can_send() const { return backlog_read_ && link_.is_open(); }
   void issue_command(ServerRequest& request, Command command);
   void send_first_copy(ServerRequest& request);
   void send_again(ServerRequest& request, RepeatableCommand command);
--- a/src/service/ports.h
+++ b/src/service/ports.h
@@ -32,6 +32,9 @@
 class Engine {
  public:
   virtual ~Engine() = default;
+  // Whether the link is up. Commands are lost on a link that is known to be broken, even if its end was not
+  // reported to the session yet.
+  virtual bool is_open() const = 0;
   // Asks for the notices that follow `last_notice`.
   virtual void attach(std::uint64_t last_notice) = 0;
   virtual void run(std::string_view id, std::string_view request_class, std::string_view body) = 0;
--- a/tests/engine_link_test.cpp
+++ b/tests/engine_link_test.cpp
@@ -21,6 +21,25 @@
   EXPECT_EQ(harness.count("run a"), 1);
 }
 
+// Between the break of a link and its report to the session, commands were written to the broken link. They
+// counted as perhaps arrived, so that requests that must not run twice waited for their deadline.
+TEST(EngineLinkTest, CommandsIssuedOnceTheLinkIsKnownToBeBrokenAreSentOnTheNext) {
+  ServiceHarness harness;
+  harness.engine_up();
+  Caller& awaiting = harness.read("a", kRequiredCallClass, "key");
+  harness.request_call("a");
+  harness.link_is_open = false;
+  harness.service.call_completed(awaiting.id, CallResult::kSucceeded, "rows");
+  harness.read("b", kWriteClass, "other");
+  EXPECT_EQ(harness.count("feed a rows"), 0);
+  EXPECT_EQ(harness.count("run b"), 0);
+  harness.service.engine().link_lost();
+  harness.link_is_open = true;
+  harness.engine_up();
+  EXPECT_EQ(harness.count("feed a rows"), 1);
+  EXPECT_EQ(harness.count("run b"), 1);
+}
+
 TEST(EngineLinkTest, ConfirmedRunIsNotSentAgain) {
   ServiceHarness harness;
   harness.engine_up();
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -60,7 +60,7 @@
   }
   // Lets the next line of the engine reach the server. Returns false if none is on its way.
   bool receive_line() {
-    if (lines_.empty()) return false;
+    if (lines_.empty() || !link_is_open) return false;
     Message line = std::move(lines_.front());
     lines_.pop_front();
     switch (line.kind) {
@@ -84,6 +84,7 @@
   }
   void connect() {
     link_is_up_ = true;
+    link_is_open = true;
     service.engine().link_established();
   }
   // Commands on their way are lost or arrive late. The engine sends its notices again on the next link.
@@ -144,6 +145,7 @@
   };
 
   void send(Message command) {
+    EXPECT_TRUE(link_is_open) << "a command is sent on a broken link";
     if (link_is_up_) commands_.push_back(std::move(command));
   }
   void emit(service::Notice notice) {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -106,6 +106,7 @@
   void wake_at(Nanos when) override { timer = when; }
   void close_idle(Nanos) override {}
   void stop_accepting() override { did.push_back("finish"); }
+  bool is_open() const override { return link_is_open; }
   void attach(std::uint64_t last_notice) override { did.push_back("attach " + std::to_string(last_notice)); }
   void run(std::string_view id, std::string_view, std::string_view) override { note("run ", id); }
   void deliver_reply(std::string_view id, std::string_view reply) override {
@@ -133,6 +134,7 @@
   std::uint64_t test_token = 0;
   std::uint64_t notice_count = 0;
   bool healthy = false;
+  bool link_is_open = true;
   std::deque<Caller> callers;
   std::vector<std::string> did;
   std::function<void(const std::string& request_id)> on_call;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -266,6 +266,17 @@
   EXPECT_TRUE(eventually([&] { return session.last_notice() == 6; }));
 }
 
+// The end of a link is reported from the event loop, after other events of the same turn.
+TEST_F(EngineClientTest, LinkThatHasEndedIsNotOpenBeforeItsEndIsReported) {
+  EXPECT_FALSE(link.is_open());  // not connected yet
+  TestSocket engine = accept_connection(listener);
+  ASSERT_TRUE(receives(engine, "ATTACH"));
+  EXPECT_TRUE(link.is_open());
+  link.deliver_reply("a", std::string(Connection::kMaxUnsentOutgoing, 'x'));
+  EXPECT_FALSE(logged("engine link ended"));
+  EXPECT_FALSE(link.is_open());
+}
+
 // When the engine moves, nothing in transit on the old link may have an unknown fate, and no notice may be
 // lost or read twice.
 TEST_F(EngineClientTest, OldEngineLinkStaysOpenAfterAMoveUntilItsDataHasArrived) {
--- a/tests/service_random_test.cpp
+++ b/tests/service_random_test.cpp
@@ -117,6 +117,7 @@
   }
   void take_step() {
     if (!link_is_up() && below(5) == 0) connect();
+    if (!link_is_open && below(2) == 0) break_link(below(2) == 0);
     std::uint64_t action = below(100);
     if (action < 10) {
       receive();
@@ -128,7 +129,7 @@
     } else if (action < 85) {
       end_call();
     } else if (action < 86) {
-      break_link(below(2) == 0);
+      link_is_open = false;  // the session learns of it later
     } else if (action < 88) {
       disconnect(below(20) == 0 ? open_.size() : 1);
     } else if (action < 89) {
