Instance killed at a sync starts again though its exit is not visible yet

No rule was broken: the rig had left a killed instance down.

Cause: when the time of a kill-at-sync step ends, the rig asked once whether the process had exited and gave up otherwise.

Change: the fault library and the rig settle with one atomic exchange whether the crash has begun or is cancelled. Begun: the rig waits for the exit and starts the instance again. An instance that exits by itself is now a violation of its own, as for servers; before, a later restart could conceal it.

InstanceThatHasBegunToCrashIs StartedAgain fails with the old condition.

--- a/measure/agreement_rig.cpp
+++ b/measure/agreement_rig.cpp
@@ -103,6 +103,7 @@
     checked_at_ = context_.now();
     proxies_.check_owners();
     servers_.check_logs();
+    instances_.check_exits();
     instances_.check_logs();
     servers_.restart_exited();
     servers_.check_budgets(releases_ ? releases_->leased_servers() : std::set<std::string>());
--- a/measure/agreement_rig.h
+++ b/measure/agreement_rig.h
@@ -51,7 +51,7 @@
   int lost_entries = 0;       // an instance ended with fewer entries or other state than agreed on
   int not_recovered = 0;      // an instance had no quorum, or knew no leader, after all faults had ended
   int drain_violations = 0;   // received by a server whose restart was ordered, and not answered
-  int crashes = 0;            // a server exited without an order
+  int crashes = 0;            // a server or an instance exited without an order
   int over_budget = 0;        // moments at which more servers were out by choice than the budgets allow
   int unpermitted_exits = 0;  // a server restarted by order while no release was under way
 
--- a/measure/rig_instances.cpp
+++ b/measure/rig_instances.cpp
@@ -115,15 +115,12 @@
 
 void RigInstances::kill_at_sync(int instance, const Step& step) {
   if (!can_fail(instance)) return;
-  standin::ChildProcess& process = (*fleet_)[instance].process;
-  const standin::FaultFile& faults = *(*fleet_)[instance].faults;
-  faults.crash_after_syncs(step.count);
+  (*fleet_)[instance].faults->crash_after_syncs(step.count);
   // The kill happens when the instance reaches that sync; another one may lead by then.
-  context_.schedule(step.length, [this, instance, &process, &faults] {
-    faults->crash_at_sync = 0;
-    if (!process.has_exited()) return;
+  context_.schedule(step.length, [this, instance] {
+    if (!fleet_->restart_if_crashed(instance)) return;
     note_leader_failure(instance);
-    start(instance, standin::ControlCluster::Start::kRestart);
+    instances_[static_cast<std::size_t>(instance)].paused = false;
   });
 }
 
@@ -154,6 +151,18 @@
   }
 }
 
+void RigInstances::check_exits() {
+  for (int i = 0; i < fleet_->size(); ++i) {
+    standin::ControlCluster::ReplicaProcess& replica = (*fleet_)[i];
+    if (replica.process.pid() <= 0 || !replica.process.has_exited()) continue;
+    // An instance without its folder refuses to start, as intended.
+    bool expected = replica.faults->crash_begun() || instances_[static_cast<std::size_t>(i)].folder_lost;
+    if (expected) continue;
+    context_.record_violation(&RigViolations::crashes, name_of(i) + " exited by itself with code " +
+                                                           std::to_string(replica.process.code()));
+  }
+}
+
 void RigInstances::check_logs() {
   for (std::size_t i = 0; i < instances_.size(); ++i) {
     instances_[i].log->for_each_new_line([&](const std::string& line) {
--- a/measure/rig_instances.h
+++ b/measure/rig_instances.h
@@ -37,6 +37,8 @@
   }
   void heal_links();
 
+  // Records a violation for each instance that exited without an injected fault.
+  void check_exits();
   // Detects a change of leader from the logs.
   void check_logs();
   // Checks that all instances have recovered and have the same state at the same epoch.
--- a/standin/control_fleet.cpp
+++ b/standin/control_fleet.cpp
@@ -64,9 +64,18 @@
   }
   if (mode == Start::kFirstStart) command.push_back("--first-start");
   command.insert(command.end(), options_.more.begin(), options_.more.end());
+  replica.faults->forget_begun_crash();
   replica.process = ChildProcess(command, log(instance), replica.faults->variables(MYRTLECROFT_FAULTY));
 }
 
+bool ControlCluster::restart_if_crashed(int instance) {
+  ReplicaProcess& replica = (*this)[instance];
+  if (!replica.faults->cancel_crash()) return false;
+  replica.process.wait();
+  start(instance);
+  return true;
+}
+
 void ControlCluster::start_all() {
   for (int i = 0; i < size(); ++i) start(i, Start::kFirstStart);
 }
--- a/standin/control_fleet.h
+++ b/standin/control_fleet.h
@@ -40,6 +40,9 @@
   void set_extra_options(std::vector<std::string> more) { options_.more = std::move(more); }
   enum class Start { kFirstStart, kRestart, kJoin };
   void start(int instance, Start mode = Start::kRestart);
+  // Ends the period in which the instance may crash at a sync (FaultFile::crash_after_syncs). If it has begun
+  // to crash, waits for its exit, starts it again and returns true.
+  bool restart_if_crashed(int instance);
   void start_all();
   // Adds an instance that can join later, without starting it. Returns its index.
   int add();
--- a/standin/faults.h
+++ b/standin/faults.h
@@ -15,13 +15,18 @@
 
 namespace myrtlecroft::standin {
 
+// Values of Faults::crash_at_sync that are not the number of a sync.
+constexpr std::int64_t kNoCrash = 0;
+constexpr std::int64_t kCrashBegun = -1;  // the process has reached that sync: it is dead, or about to die
+
 struct Faults {
   std::atomic<std::int64_t> wall_clock_offset_ns;  // added to the wall clock
   std::atomic<std::int32_t> sync_error;            // errno of every sync; 0: none
   std::atomic<std::int32_t> write_error;           // errno of every write to a regular file; 0: none
   std::atomic<std::int64_t> sync_delay_ns;
-  std::atomic<std::int64_t> syncs;          // number of syncs so far
-  std::atomic<std::int64_t> crash_at_sync;  // killed when it begins this sync; 0: never
+  std::atomic<std::int64_t> syncs;           // number of syncs so far
+  std::atomic<std::int64_t> crash_at_sync;   // killed when it begins this sync
+  std::atomic<std::int64_t> crash_delay_ns;  // from the beginning of that sync to the kill
 };
 
 // The faults of one process, as seen by the process that starts and controls it.
@@ -43,6 +48,14 @@
   Faults* operator->() const { return faults_; }
   // Kills the process when it begins its `sync`-th sync from now.
   void crash_after_syncs(std::int64_t sync) const { faults_->crash_at_sync = faults_->syncs + sync; }
+  // Cancels the crash. Returns whether the process has begun it; its exit may not be visible yet.
+  bool cancel_crash() const { return faults_->crash_at_sync.exchange(kNoCrash) == kCrashBegun; }
+  bool crash_begun() const { return faults_->crash_at_sync == kCrashBegun; }
+  // Forgets the crash of a previous process; a crash that has not begun stays planned.
+  void forget_begun_crash() const {
+    std::int64_t expected = kCrashBegun;
+    faults_->crash_at_sync.compare_exchange_strong(expected, kNoCrash);
+  }
   // Environment variables with which the process loads the fault library from the path `library`.
   std::vector<std::pair<std::string, std::string>> variables(const std::string& library) const {
     return {{"LD_PRELOAD", library}, {"MYRTLECROFT_FAULTS", path_}};
--- a/standin/faulty.cpp
+++ b/standin/faulty.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using myrtlecroft::standin::Faults;
+using myrtlecroft::standin::kCrashBegun;
 
 Faults* faults() {
   static Faults* mapped = []() -> Faults* {
@@ -31,14 +32,24 @@
   return reinterpret_cast<Call>(::dlsym(RTLD_NEXT, name));
 }
 
+void sleep_for(std::int64_t delay_ns) {
+  if (delay_ns == 0) return;
+  timespec wait{.tv_sec = delay_ns / 1'000'000'000, .tv_nsec = delay_ns % 1'000'000'000};
+  ::nanosleep(&wait, nullptr);
+}
+
+// Either this call begins the crash or FaultFile::cancel_crash() cancels it, never both.
+void crash_if_planned(Faults& active, std::int64_t sync) {
+  if (!active.crash_at_sync.compare_exchange_strong(sync, kCrashBegun)) return;
+  sleep_for(active.crash_delay_ns);
+  ::kill(::getpid(), SIGKILL);
+}
+
 int sync(int file, int (*call)(int)) {
   Faults* active = faults();
   if (!active) return call(file);
-  if (++active->syncs == active->crash_at_sync) ::kill(::getpid(), SIGKILL);
-  if (std::int64_t delay_ns = active->sync_delay_ns) {
-    timespec wait{.tv_sec = delay_ns / 1'000'000'000, .tv_nsec = delay_ns % 1'000'000'000};
-    ::nanosleep(&wait, nullptr);
-  }
+  crash_if_planned(*active, ++active->syncs);
+  sleep_for(active->sync_delay_ns);
   if (int code = active->sync_error) {
     errno = code;
     return -1;
--- a/tests/replica_processes_test.cpp
+++ b/tests/replica_processes_test.cpp
@@ -127,7 +127,6 @@
     ASSERT_TRUE(control::await([&] {
       if (!replica.process.has_exited()) return is_voter(at) || (query(leader(), add_command()), false);
       ++killed;
-      (*replica.faults)->crash_at_sync = 0;
       fleet->start(at, standin::ControlCluster::Start::kJoin);
       return false;
     })) << "killed at sync "
@@ -142,6 +141,35 @@
   EXPECT_GE(killed, 4);
 }
 
+// Guards against an instance that stays down because its exit is not visible yet when its restart is due.
+TEST_F(ReplicaProcessesTest, InstanceThatHasBegunToCrashIsStartedAgain) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0; }));
+  int at = leader();
+  standin::ControlCluster::ReplicaProcess& replica = (*fleet)[at];
+  (*replica.faults)->crash_delay_ns = 500 * kMs;
+  replica.faults->crash_after_syncs(1);
+  bool draining = false;
+  ASSERT_TRUE(control::await([&] {
+    report_draining(draining = !draining);
+    return replica.faults->crash_begun();
+  }));
+  int crashing = replica.process.pid();
+  ASSERT_FALSE(replica.process.has_exited());
+  EXPECT_TRUE(fleet->restart_if_crashed(at));
+  EXPECT_NE(replica.process.pid(), crashing);
+  EXPECT_TRUE(control::await([&] { return has_quorum(at); }));
+}
+
+TEST_F(ReplicaProcessesTest, InstanceThatHasNotBegunToCrashKeepsRunning) {
+  ASSERT_TRUE(control::await([&] { return leader() >= 0; }));
+  standin::ControlCluster::ReplicaProcess& replica = (*fleet)[0];
+  int running = replica.process.pid();
+  replica.faults->crash_after_syncs(1'000'000);
+  EXPECT_FALSE(fleet->restart_if_crashed(0));
+  EXPECT_EQ(replica.process.pid(), running);
+  EXPECT_FALSE(replica.process.has_exited());
+}
+
 struct ReplicaSnapshotTest : ReplicaProcessesTest {
   ReplicaSnapshotTest() : ReplicaProcessesTest({"--snapshot-after", "8"}) {}
 };
@@ -160,7 +188,6 @@
       return replica.process.has_exited();
     })) << "sync "
         << sync;
-    (*replica.faults)->crash_at_sync = 0;
     fleet->start(at);
     ASSERT_TRUE(control::await([&] { return has_quorum(at); })) << "sync " << sync;
     EXPECT_GE(query(at).epoch(), before);
