Ports of test processes stay reserved while the process is not running

Seen when nine rigs ran at once: "instance 2 exited by itself with code 1", its log "can't listen for reporter on port 19526: Address already in use". A port was looked for by binding it once, and was nobody's until the process listened, and again whenever the process was down.

Change: PortReservations keeps each port bound without listening. The process can listen there, since all programs set SO_REUSEADDR (the bare relay of the latency measurement did not and now does); nobody else can bind it. It replaces free_port and the sets of ports that each rig kept beside it.

--- a/measure/capacity/real_rig.h
+++ b/measure/capacity/real_rig.h
@@ -98,7 +98,7 @@
   void start_change(ChangeKind kind, const std::vector<std::uint32_t>& servers, hollow::Answer& started);
 
   RigOptions options_;
-  std::set<int> ports_;
+  standin::PortReservations ports_;
   standin::ControlCluster control_;
   HollowProcesses servers_;
   HollowProcesses callers_;
--- a/measure/capacity/real_server_process.cpp
+++ b/measure/capacity/real_server_process.cpp
@@ -11,9 +11,9 @@
 #include <thread>
 
 #include "child.h"
-#include "control_fleet.h"
 #include "net/address.h"
 #include "node_config.h"
+#include "port_reservations.h"
 #include "report/load_report.h"
 
 namespace myrtlecroft::capacity {
@@ -65,11 +65,12 @@
 
 class ServerProcess {
  public:
-  ServerProcess(const std::string& folder, const ServerProcessOptions& options, std::set<int>& used_ports) {
+  ServerProcess(const std::string& folder, const ServerProcessOptions& options,
+                standin::PortReservations& ports) {
     std::string stem = folder + "/server-" + std::to_string(options.request_classes) + "-" +
                        std::to_string(options.instances);
     standin::ServerConfig config;
-    for (int* port : {&config.port, &config.engine, &config.database}) *port = standin::free_port(used_ports);
+    for (int* port : {&config.port, &config.engine, &config.database}) *port = ports.reserve();
     for (int i = 1; i <= options.request_classes; ++i) {
       config.request_classes +=
           std::string(i > 1 ? "," : "") + R"({"name":"s)" + std::to_string(i) +
@@ -163,10 +164,10 @@
 std::vector<ServerProcessCosts> measure_server_processes(const std::string& folder,
                                                          const std::vector<ServerProcessOptions>& options,
                                                          int rounds, int round_ms) {
-  std::set<int> used_ports;
+  standin::PortReservations ports;
   Processes processes;
   for (const ServerProcessOptions& process : options)
-    processes.push_back(std::make_unique<ServerProcess>(folder, process, used_ports));
+    processes.push_back(std::make_unique<ServerProcess>(folder, process, ports));
   bool up = read_until(processes, kStartLimitMs, [&] {
     return std::all_of(processes.begin(), processes.end(),
                        [](const auto& process) { return process->has_reported(); });
--- a/measure/capacity/server_latency.cpp
+++ b/measure/capacity/server_latency.cpp
@@ -4,10 +4,9 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <set>
 #include <stdexcept>
 
-#include "../../standin/control_fleet.h"
+#include "../../standin/port_reservations.h"
 #include "server_relay.h"
 #include "server_rig.h"
 
@@ -79,7 +78,7 @@
 
 class RelayRig {
  public:
-  explicit RelayRig(net::Loop& loop) : responder_(loop), port_(standin::free_port(used_ports_)) {
+  explicit RelayRig(net::Loop& loop) : responder_(loop), port_(ports_.reserve()) {
     process_ = standin::ChildProcess(
         {"/proc/self/exe", "relay", std::to_string(port_), std::to_string(responder_.port())}, "/dev/null");
     load_ = std::make_unique<Load>(loop, static_cast<std::uint16_t>(port_), random_target(kSizes));
@@ -88,7 +87,7 @@
   Load& load() { return *load_; }
 
  private:
-  std::set<int> used_ports_;
+  standin::PortReservations ports_;
   Responder responder_;
   int port_;
   standin::ChildProcess process_;
--- a/measure/capacity/server_relay.cpp
+++ b/measure/capacity/server_relay.cpp
@@ -48,6 +48,8 @@
  public:
   BareRelay(std::uint16_t listen, std::uint16_t to) : to_(net::loopback(to)), events_(::epoll_create1(0)) {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    int yes = 1;
+    ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);  // its port is reserved
     sockaddr_in address = net::loopback(listen);
     if (::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
       exit_with_error("bind");
--- a/measure/capacity/server_rig.cpp
+++ b/measure/capacity/server_rig.cpp
@@ -5,10 +5,8 @@
 #include <ctime>
 #include <filesystem>
 #include <fstream>
-#include <set>
 #include <stdexcept>
 
-#include "../../standin/control_fleet.h"
 #include "../../standin/node_config.h"
 
 namespace myrtlecroft::capacity {
@@ -53,8 +51,7 @@
   char name[] = "/tmp/myrtlecroft_capacity.XXXXXX";
   if (!::mkdtemp(name)) throw std::runtime_error("can't create a folder for the server's files");
   folder_ = name;
-  std::set<int> used_ports;
-  port_ = standin::free_port(used_ports);
+  port_ = ports_.reserve();
   load_ = std::make_unique<Load>(loop, static_cast<std::uint16_t>(port_), random_target(sizes));
   write_config();
 }
--- a/measure/capacity/server_rig.h
+++ b/measure/capacity/server_rig.h
@@ -9,6 +9,7 @@
 #include "../../standin/child.h"
 #include "../../standin/engine.h"
 #include "../../standin/no_log.h"
+#include "../../standin/port_reservations.h"
 #include "server_load.h"
 
 namespace myrtlecroft::capacity {
@@ -50,6 +51,7 @@
   standin::NullLogger log_;
   standin::Engine engine_;
   std::string folder_;
+  standin::PortReservations ports_;
   int port_ = 0;
   std::unique_ptr<Load> load_;
   standin::ChildProcess server_;
--- a/measure/measure_xds.cpp
+++ b/measure/measure_xds.cpp
@@ -175,13 +175,13 @@
   std::printf("push without a network: shared %.1f ms, serialised for each proxy %.1f ms\n", shared_ms,
               each_ms);
 
-  std::set<int> used_ports;
+  standin::PortReservations ports;
   standin::ControlCluster fleet({.folder = folder.file(""),
                                  .fleet = folder.file("fleet.conf"),
                                  .instances = instances,
                                  .replicated = instances > 1,
                                  .more = {}},
-                                used_ports);
+                                ports);
   fleet.start_all();
   standin::ChildProcess& control = fleet[0].process;
   std::vector<std::unique_ptr<control::Reporters>> reporters;
--- a/measure/ready.cpp
+++ b/measure/ready.cpp
@@ -9,15 +9,14 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "../standin/cgi_client.h"
 #include "../standin/child.h"
-#include "../standin/control_fleet.h"
 #include "../standin/engine.h"
 #include "../standin/no_log.h"
 #include "../standin/node_config.h"
+#include "../standin/port_reservations.h"
 #include "net/address.h"
 #include "net/connection.h"
 
@@ -91,7 +90,7 @@
           std::make_unique<standin::Engine>(loop_, log_, name, kCores, [](const standin::ObservedRun&) {});
       server.config = folder_ + "/" + name + ".json";
       server.log = folder_ + "/" + name + ".log";
-      server.port = standin::free_port(used_ports_);
+      server.port = ports_.reserve();
       standin::write_server_config(
           server.config,
           {.name = name,
@@ -193,7 +192,7 @@
   net::Timer tick_;
   int membership_socket_;
   std::string folder_;
-  std::set<int> used_ports_;
+  standin::PortReservations ports_;
   std::deque<ServerProcess> servers_;
   std::deque<std::unique_ptr<SingleRequest>> load_requests_;
   std::uint64_t last_trace_ = 0;
--- a/measure/rehearsal.cpp
+++ b/measure/rehearsal.cpp
@@ -63,14 +63,14 @@
   }
 
   RehearsalResult run() {
-    for (int& port : server_ports_) port = standin::free_port(used_ports_);
+    for (int& port : server_ports_) port = ports_.reserve();
     control_ = std::make_unique<standin::ControlCluster>(
         standin::ControlClusterOptions{.folder = folder_,
                                        .fleet = file("fleet.conf"),
                                        .instances = options_.instances,
                                        .replicated = options_.instances > 1,
                                        .more = {}},
-        used_ports_);
+        ports_);
     write_fleet();
     for (int i = 0; i < kServers; ++i) {
       engines_.push_back(std::make_unique<standin::Engine>(
@@ -392,7 +392,7 @@
 
   RehearsalOptions options_;
   std::mt19937 random_;
-  std::set<int> used_ports_;
+  standin::PortReservations ports_;
   int server_ports_[kServers] = {};
   std::string folder_;
   net::Loop loop_;
--- a/measure/rig_context.h
+++ b/measure/rig_context.h
@@ -5,10 +5,10 @@
 #include <functional>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 
 #include "../standin/no_log.h"
+#include "../standin/port_reservations.h"
 #include "agreement_rig.h"
 #include "net/loop.h"
 
@@ -28,7 +28,7 @@
   net::Loop& loop() { return loop_; }
   service::Logger& log() { return log_; }
   std::mt19937& random() { return random_; }
-  std::set<int>& taken_ports() { return taken_ports_; }
+  standin::PortReservations& ports() { return ports_; }
 
   // Starts the incident's time. Call once the processes are ready.
   void begin() { begin_time_ = loop_.now(); }
@@ -66,7 +66,7 @@
   net::Loop loop_;
   standin::NullLogger log_;
   std::mt19937 random_;
-  std::set<int> taken_ports_;
+  standin::PortReservations ports_;
   std::multimap<Nanos, std::function<void()>> tasks_;
   RigResult result_;
   Nanos begin_time_ = 0;
--- a/measure/rig_files.cpp
+++ b/measure/rig_files.cpp
@@ -3,8 +3,8 @@
 #include <fstream>
 #include <iomanip>
 
-#include "../standin/control_fleet.h"
 #include "../standin/node_config.h"
+#include "../standin/port_reservations.h"
 
 namespace myrtlecroft::rehearsal {
 namespace {
--- a/measure/rig_instances.cpp
+++ b/measure/rig_instances.cpp
@@ -32,7 +32,7 @@
                                      .instances = count,
                                      .replicated = context.options().replicated,
                                      .more = {}},
-      context.taken_ports());
+      context.ports());
   for (int i = 0; i < count; ++i) {
     Instance& instance = instances_.emplace_back();
     instance.log = std::make_unique<LogTail>(fleet_->log(i));
--- a/measure/rig_servers.cpp
+++ b/measure/rig_servers.cpp
@@ -4,7 +4,7 @@
 #include <csignal>
 #include <regex>
 
-#include "../standin/control_fleet.h"
+#include "../standin/port_reservations.h"
 #include "rig_files.h"
 
 namespace myrtlecroft::rehearsal {
@@ -37,7 +37,7 @@
 void RigServers::add(int index, const std::vector<int>& report_ports) {
   const std::string name = RigContext::server_name(index);
   Server& server = servers_.emplace_back();
-  server.port = standin::free_port(context_.taken_ports());
+  server.port = context_.ports().reserve();
   server.faults = std::make_unique<standin::FaultFile>(context_.file("faults-" + name));
   server.engine = std::make_unique<standin::Engine>(
       context_.loop(), context_.log(), name, kEngineCores,
--- a/standin/control_fleet.cpp
+++ b/standin/control_fleet.cpp
@@ -1,37 +1,17 @@
 #include "control_fleet.h"
 
-#include <sys/socket.h>
-
-#include <random>
-
-#include "net/address.h"
+#include <utility>
 
 namespace myrtlecroft::standin {
 
-int free_port(std::set<int>& taken) {
-  constexpr int kFirstPort = 12'000;
-  constexpr int kPortCount = 18'000;
-  static std::mt19937 random(static_cast<unsigned>(::getpid()));
-  for (;;) {
-    int port = kFirstPort + static_cast<int>(random() % kPortCount);
-    int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = net::loopback(static_cast<std::uint16_t>(port));
-    bool bound = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-    ::close(socket);
-    if (bound && taken.insert(port).second) return port;
-  }
-}
-
-std::string loopback_address(int port) { return "127.0.0.1:" + std::to_string(port); }
-
-ControlCluster::ControlCluster(ControlClusterOptions options, std::set<int>& taken)
-    : options_(std::move(options)), taken_(taken) {
+ControlCluster::ControlCluster(ControlClusterOptions options, PortReservations& ports)
+    : options_(std::move(options)), ports_(ports) {
   for (int i = 0; i < options_.instances; ++i) add();
 }
 
 int ControlCluster::add() {
   ReplicaProcess replica;
-  for (int* port : {&replica.xds, &replica.reports, &replica.admin, &replica.peer}) *port = free_port(taken_);
+  for (int* port : {&replica.xds, &replica.reports, &replica.admin, &replica.peer}) *port = ports_.reserve();
   replica.faults =
       std::make_unique<FaultFile>(options_.folder + "/faults" + std::to_string(replicas_.size() + 1));
   replicas_.push_back(std::move(replica));
--- a/standin/control_fleet.h
+++ b/standin/control_fleet.h
@@ -2,21 +2,15 @@
 #pragma once
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "child.h"
 #include "faults.h"
+#include "port_reservations.h"
 
 namespace myrtlecroft::standin {
 
-// Returns a port that is free now and not in `taken`, and adds it there. Chosen below the kernel's ephemeral
-// range: a port assigned by the kernel could be reused for an outgoing connection before the process that
-// needs it has started.
-int free_port(std::set<int>& taken);
-std::string loopback_address(int port);
-
 struct ControlClusterOptions {
   std::string folder;
   std::string fleet;  // path of the fleet file
@@ -34,7 +28,7 @@
     std::unique_ptr<FaultFile> faults;
     ChildProcess process;
   };
-  ControlCluster(ControlClusterOptions options, std::set<int>& taken);
+  ControlCluster(ControlClusterOptions options, PortReservations& ports);
 
   // Sets the extra command-line options of instances started from now on.
   void set_extra_options(std::vector<std::string> more) { options_.more = std::move(more); }
@@ -59,7 +53,7 @@
 
  private:
   ControlClusterOptions options_;
-  std::set<int>& taken_;
+  PortReservations& ports_;
   std::vector<ReplicaProcess> replicas_;
 };
 
--- a/tests/replica_processes_test.cpp
+++ b/tests/replica_processes_test.cpp
@@ -55,7 +55,7 @@
                                        .instances = 3,
                                        .replicated = true,
                                        .more = extra_options},
-        taken);
+        ports);
     fleet->start_all();
     for (const auto& replica : fleet->all()) {
       reporters.push_back(std::make_unique<control::Reporters>(static_cast<std::uint16_t>(replica.reports)));
@@ -105,7 +105,7 @@
   void report_draining(bool draining) {
     for (auto& one : reporters) one->set("n1", [&](auto& report) { report.draining = draining; });
   }
-  std::set<int> taken;
+  standin::PortReservations ports;
   std::unique_ptr<standin::ControlCluster> fleet;
   std::vector<std::unique_ptr<control::Reporters>> reporters;
 };
--- a/tests/subsetting_processes_test.cpp
+++ b/tests/subsetting_processes_test.cpp
@@ -109,7 +109,7 @@
                                            .instances = kInstances,
                                            .replicated = true,
                                            .more = {}};
-    fleet_ = std::make_unique<standin::ControlCluster>(options, taken_);
+    fleet_ = std::make_unique<standin::ControlCluster>(options, ports_);
     fleet_->start_all();
     for (const auto& replica : fleet_->all()) {
       reporters_.push_back(std::make_unique<control::Reporters>(static_cast<std::uint16_t>(replica.reports)));
@@ -238,7 +238,7 @@
   }
 
   control::TemporaryFolder folder_;
-  std::set<int> taken_;
+  standin::PortReservations ports_;
   std::unique_ptr<standin::ControlCluster> fleet_;
   std::vector<std::unique_ptr<control::Reporters>> reporters_;
   OwnerObserver owners_;
