A run whose end was lost for good no longer keeps its place for ever

Its caller was answered at the due time, but the run kept its place in the concurrency limit until the process ended.

Cause: a run whose caller is answered was ended early only if its RUN command was in doubt. A missing number in the notices, which are numbered without gaps, was not taken for a loss.

Change: EngineSession counts missing numbers. A run that had started before is given up once its caller is answered, unless a later notice shows that it goes on. Nothing is sent again for it. A log line names both counts.

Both random and command tests take their classes from one function now.

--- a/src/service/engine_session.cpp
+++ b/src/service/engine_session.cpp
@@ -26,6 +26,7 @@
 void EngineSession::record_sent(ServerRequest& request) {
   request.delivery = Delivery::kSent;
   request.command_number = ++last_sent_number_;
+  if (request.command == Command::kRun) request.notices_lost = false;  // its notices follow
 }
 
 void EngineSession::send_first_copy(ServerRequest& request) {
@@ -97,11 +98,19 @@
 // A backlog may repeat notices that were read before; each notice is handled once.
 void EngineSession::notice(const Notice& notice) {
   if (notice.number <= last_notice_) return;
+  std::uint64_t lost = notice.number - last_notice_ - 1;
   last_notice_ = notice.number;
+  if (lost > 0) record_lost_notices(lost);
+  handle_notice(notice);
+  if (lost > 0 && backlog_read_) end_answered_runs_in_doubt();
+}
+
+void EngineSession::handle_notice(const Notice& notice) {
   auto found = by_id_.find(notice.id);
   if (notice.kind == Notice::Kind::kNote || found == by_id_.end()) return;
   ServerRequest& request = *found->second;
   request.command = Command::kNone;
+  request.notices_lost = false;
   if (notice.kind == Notice::Kind::kNeed) {
     request.call_notice = notice.number;
     request.payload = notice.payload;
@@ -111,6 +120,34 @@
   }
 }
 
+void EngineSession::record_lost_notices(std::uint64_t count) {
+  int runs_in_doubt = 0;
+  for (ServerRequest* request : runs_) {
+    bool may_have_started = request->command != Command::kRun || request->delivery != Delivery::kUnsent;
+    if (!may_have_started) continue;
+    request->notices_lost = true;
+    ++runs_in_doubt;
+  }
+  events_.notices_lost(count, runs_in_doubt);
+}
+
+void EngineSession::end_answered_runs_in_doubt() {
+  for (const std::string& id : run_ids()) {
+    auto found = by_id_.find(id);
+    if (found == by_id_.end()) continue;
+    ServerRequest& request = *found->second;
+    if (request.answered && request.notices_lost) events_.run_ended(request, Outcome::kFailed, "");
+  }
+}
+
+// The end of one run can end others, so callers look up each request again.
+std::vector<std::string> EngineSession::run_ids() const {
+  std::vector<std::string> ids;
+  ids.reserve(runs_.size());
+  for (const ServerRequest* request : runs_) ids.push_back(request->id);
+  return ids;
+}
+
 void EngineSession::stats(std::uint64_t token, const std::vector<double>& values) {
   if (token > last_confirmed_number_ && token <= last_sent_number_) last_confirmed_number_ = token;
   if (backlog_end_token_ != 0 && token == backlog_end_token_) resolve_pending_commands();
@@ -123,14 +160,12 @@
   events_.test_completed(passed);
 }
 
-// The end of one run can end others, so requests are looked up one by one.
 void EngineSession::resolve_pending_commands() {
   backlog_end_token_ = 0;
   backlog_read_ = true;
-  std::vector<std::string> ids;
-  for (const ServerRequest* request : runs_) ids.push_back(request->id);
+  end_answered_runs_in_doubt();
   ResolvedCommands resolved;
-  for (const std::string& id : ids) {
+  for (const std::string& id : run_ids()) {
     auto found = by_id_.find(id);
     if (found != by_id_.end()) resolve(*found->second, resolved);
   }
--- a/src/service/engine_session.h
+++ b/src/service/engine_session.h
@@ -13,6 +13,11 @@
 // on its way, whatever earlier runs did. A reply in doubt is replaced by a skip where the class can do
 // without the call. Any other command is left pending: a notice or the request's deadline ends it. The body
 // of a run and a reply are handed over with their first copy, so that there is nothing to send again.
+//
+// Notices are numbered without gaps. A missing number is a notice that was lost for good: the engine keeps
+// only the last ones for a server that is away, and a line may be damaged each time it is sent. A run that
+// may have ended in a lost notice is given up once its caller is answered, unless a later notice shows that
+// it goes on.
 #pragma once
 
 #include <optional>
@@ -55,6 +60,8 @@
   virtual void test_completed(bool passed) = 0;
   // A new link is ready, after one broke with commands in doubt.
   virtual void commands_resolved(const ResolvedCommands& resolved) = 0;
+  // The engine will not send `count` notices again; the ends of `runs_in_doubt` runs may be among them.
+  virtual void notices_lost(std::uint64_t count, int runs_in_doubt) = 0;
 };
 
 // Sends commands to the engine and matches its notices to requests.
@@ -96,6 +103,10 @@
   void send_first_copy(ServerRequest& request);
   void send_again(ServerRequest& request, RepeatableCommand command);
   void record_sent(ServerRequest& request);
+  void handle_notice(const Notice& notice);
+  void record_lost_notices(std::uint64_t count);
+  void end_answered_runs_in_doubt();
+  std::vector<std::string> run_ids() const;
   void resolve_pending_commands();
   void resolve(ServerRequest& request, ResolvedCommands& resolved);
   static std::optional<RepeatableCommand> repeatable_command(const ServerRequest& request);
--- a/src/service/server_request.h
+++ b/src/service/server_request.h
@@ -64,7 +64,11 @@
   std::uint64_t call_notice = 0;     // the notice that asked for the call that the run waits for
   std::string payload;               // the body of the call, then its reply until it is sent
   bool unknown_to_engine = false;    // the engine reported that it does not know the request
-  bool run_is_in_doubt() const { return command == Command::kRun && delivery == Delivery::kUnknown; }
+  bool notices_lost = false;         // since its last notice, for good; perhaps that of its end
+  // Whether the notice of the run's end may never come.
+  bool end_is_in_doubt() const {
+    return notices_lost || (command == Command::kRun && delivery == Delivery::kUnknown);
+  }
 
   DependencyCall dependency_call;
 
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -158,6 +158,11 @@
       ", left pending " + std::to_string(resolved.pending) + ", ended " + std::to_string(resolved.ended));
 }
 
+void Service::notices_lost(std::uint64_t count, int runs_in_doubt) {
+  ports_.logger.write_rate_limited("engine notices lost for good: " + std::to_string(count) +
+                                   ", runs that may have ended meanwhile: " + std::to_string(runs_in_doubt));
+}
+
 // ---- From the clock and the operators
 
 void Service::timer_expired() {
@@ -215,12 +220,12 @@
 }
 
 // The engine continues to work on an abandoned request. If it is unknown whether the run command reached the
-// engine, the notice of its end may never come; the run is ended at once, so that its place in the
-// concurrency limit is freed.
+// engine, or notices were lost, the notice of its end may never come; the run is ended at once, so that its
+// place in the concurrency limit is freed.
 void Service::abandon(ServerRequest& request) {
   if (request.phase != Phase::kAbandoned) return;
   abandon_active_call(request);
-  if (request.run_is_in_doubt()) deferred_.push_back({&request, Outcome::kFailed});
+  if (request.end_is_in_doubt()) deferred_.push_back({&request, Outcome::kFailed});
 }
 
 void Service::skip_call(Request& request) { engine_.skip(server_request(request)); }
--- a/src/service/service.h
+++ b/src/service/service.h
@@ -94,6 +94,7 @@
   void gauges_received(const std::vector<double>& values) override;
   void test_completed(bool passed) override;
   void commands_resolved(const ResolvedCommands& resolved) override;
+  void notices_lost(std::uint64_t count, int runs_in_doubt) override;
 
   // ControllerActions, called by the Controller.
   void run(Request& request) override;
--- a/tests/abandoned_requests_test.cpp
+++ b/tests/abandoned_requests_test.cpp
@@ -1,5 +1,4 @@
 // Requests whose client takes them back or disconnects, in each state that a request can be in.
-#include <set>
 #include <string>
 #include <tuple>
 
--- a/tests/engine_commands_test.cpp
+++ b/tests/engine_commands_test.cpp
@@ -12,13 +12,8 @@
 
 constexpr int kRegularRuns = 30;  // before the break, each with one call
 
-ServiceConfig config_with_each_idempotency() {
-  ServiceConfig config = two_core_config();
-  config.dependency_share = 20;
-  RequestClass mutating = config.request_classes[kRequiredCallClass];
-  mutating.name = "mutating";
-  mutating.idempotency = Idempotency::kNone;
-  config.request_classes.push_back(mutating);
+ServiceConfig config_with_calls() {
+  ServiceConfig config = config_with_each_idempotency();
   for (RequestClass& request_class : config.request_classes) request_class.makes_calls = true;
   return config;
 }
@@ -55,7 +50,7 @@
  protected:
   void play(int calls, const Break& at) {
     auto index = static_cast<RequestClassIndex>(GetParam());
-    EngineModel engine(config_with_each_idempotency());
+    EngineModel engine(config_with_calls());
     engine.connect();
     engine.exchange_all();
     for (int i = 0; i < kRegularRuns; ++i) {
@@ -104,5 +99,99 @@
 
 INSTANTIATE_TEST_SUITE_P(EachClass, EngineCommandsTest, testing::Range(0, 5));
 
+// The end of a run that began before notices were lost for good. What the server holds for the run must not
+// stay for ever: its place in the concurrency limit was never free again.
+class LostNoticesTest : public testing::TestWithParam<int> {
+ protected:
+  LostNoticesTest() : engine(config_with_calls()) {
+    engine.connect();
+    engine.exchange_all();
+  }
+  void start(int calls) {
+    engine.calls_per_run = calls;
+    caller = &engine.read("watched", static_cast<RequestClassIndex>(GetParam()), "watched");
+    engine.exchange_all();
+    engine.advance_time(100 * kMs);
+    engine.exchange_all();  // the gauges: the run command is known to have arrived
+    ASSERT_EQ(running(), 1);
+  }
+  int running() const { return engine.service.stats()->running; }
+  // The notices while the link is down are more than the engine keeps.
+  void lose_notices_while_disconnected() {
+    engine.kept_notices = 2;
+    engine.break_link(false);
+    engine.advance_run("watched");
+    for (int i = 0; i < 3; ++i) engine.remark();
+  }
+  void reconnect() {
+    engine.connect();
+    engine.exchange_all();
+  }
+
+  EngineModel engine;
+  Caller* caller = nullptr;
+};
+
+TEST_P(LostNoticesTest, RunIsEndedOnceItsCallerIsAnswered) {
+  start(0);
+  lose_notices_while_disconnected();
+  reconnect();
+  EXPECT_EQ(running(), 1);
+  engine.advance_time(3 * kSecond);
+  EXPECT_EQ(caller->single_answer(), "terminated");
+  EXPECT_EQ(running(), 0);
+  EXPECT_EQ(engine.starts["watched"], 1);
+}
+
+TEST_P(LostNoticesTest, RunWhoseCallerWasAnsweredBeforeIsEndedAfterTheBacklog) {
+  start(0);
+  lose_notices_while_disconnected();
+  engine.advance_time(3 * kSecond);
+  EXPECT_EQ(caller->single_answer(), "terminated");
+  reconnect();
+  EXPECT_EQ(running(), 0);
+}
+
+TEST_P(LostNoticesTest, RunIsEndedIfItsLineIsLostOnALink) {
+  start(0);
+  engine.advance_run("watched");
+  engine.lose_notice();
+  engine.advance_time(3 * kSecond);
+  EXPECT_EQ(running(), 1);
+  engine.remark();
+  engine.exchange_all();
+  EXPECT_EQ(caller->single_answer(), "terminated");
+  EXPECT_EQ(running(), 0);
+}
+
+TEST_P(LostNoticesTest, RunIsCompletedIfItsNoticeIsNotAmongThoseLost) {
+  start(0);
+  engine.remark();
+  engine.lose_notice();
+  engine.advance_run("watched");
+  engine.exchange_all();
+  EXPECT_EQ(caller->single_answer(), "completed result of watched");
+  EXPECT_EQ(running(), 0);
+}
+
+// A call that it asks for afterwards shows that the run goes on.
+TEST_P(LostNoticesTest, RunThatAsksForACallAfterwardsKeepsItsPlaceUntilItsEnd) {
+  start(1);
+  engine.remark();
+  engine.lose_notice();
+  engine.advance_run("watched");
+  engine.exchange_all();
+  engine.complete_call("watched", CallResult::kSucceeded);
+  engine.exchange_all();
+  engine.advance_time(3 * kSecond);
+  EXPECT_EQ(caller->single_answer(), "terminated");
+  EXPECT_EQ(running(), 1);
+  engine.advance_run("watched");
+  engine.exchange_all();
+  EXPECT_EQ(running(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(EachClass, LostNoticesTest, testing::Range(0, 5));
+
 }  // namespace
 }  // namespace myrtlecroft
--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -15,6 +16,17 @@
 
 namespace myrtlecroft {
 
+// Two cores, and classes that are idempotent, keyed, and mutating without a key, the last one.
+inline ServiceConfig config_with_each_idempotency() {
+  ServiceConfig config = two_core_config();
+  config.dependency_share = 20;
+  RequestClass mutating = config.request_classes[kRequiredCallClass];
+  mutating.name = "mutating";
+  mutating.idempotency = Idempotency::kNone;
+  config.request_classes.push_back(mutating);
+  return config;
+}
+
 // The engine runs again what it is told to run after its run has ended, and passes a reply to whichever call
 // waits.
 class EngineModel : public ServiceHarness {
@@ -120,13 +132,27 @@
     for (const auto& [id, run] : runs_) ids.push_back(id);
     return ids;
   }
+  // Ends every run, also those that wait for a reply.
+  void stop_runs() {
+    for (const auto& [id, run] : runs_)
+      emit({service::Notice::Kind::kDone, notices_.size() + 1, id, Outcome::kFailed, ""});
+    runs_.clear();
+  }
   void complete_call(const std::string& id, service::CallResult result) {
     std::string body = std::exchange(calls_in_flight[id], {});
     calls_in_flight.erase(id);
     service.call_completed(id, result, "reply to " + body);
   }
 
+  // A notice about no request.
+  void remark() { emit({service::Notice::Kind::kNote, notices_.size() + 1, "", Outcome::kOk, ""}); }
+  // Loses the next line if it is a notice, as if its bytes were damaged each time it is sent.
+  void lose_notice() {
+    if (!lines_.empty() && lines_.front().kind == Kind::kNotice) lines_.pop_front();
+  }
+
   int calls_per_run = 1;
+  std::size_t kept_notices = 4000;                     // that a new link can ask for
   std::map<std::string, int> starts;                   // of runs, by request
   std::map<std::string, std::string> calls_in_flight;  // request and body
 
@@ -152,12 +178,16 @@
     notices_.push_back(std::move(notice));
     if (link_is_up_) lines_.push_back({.kind = Kind::kNotice, .number = notices_.size()});
   }
+  std::uint64_t first_kept_after(std::uint64_t last_notice) const {
+    std::size_t dropped = notices_.size() - std::min(kept_notices, notices_.size());
+    return std::max<std::uint64_t>(last_notice, dropped) + 1;
+  }
   void handle(const Message& command) {
     auto run = runs_.find(command.id);
     switch (command.kind) {
       case Kind::kAttach:
         lines_.push_back({.kind = Kind::kHello});
-        for (std::uint64_t number = command.number + 1; number <= notices_.size(); ++number)
+        for (std::uint64_t number = first_kept_after(command.number); number <= notices_.size(); ++number)
           lines_.push_back({.kind = Kind::kNotice, .number = number});
         return;
       case Kind::kRun:
--- a/tests/service_random_test.cpp
+++ b/tests/service_random_test.cpp
@@ -21,20 +21,16 @@
 constexpr Nanos kAnswerSlack = 100 * kMs;  // of the configuration
 
 ServiceConfig random_events_config() {
-  ServiceConfig config = two_core_config();
+  ServiceConfig config = config_with_each_idempotency();
   config.cores = 8;
-  config.dependency_share = 20;
   config.answer_sharing_window = 200 * kMs;
-  RequestClass mutating = config.request_classes[kRequiredCallClass];
-  mutating.name = "mutating";
-  mutating.idempotency = Idempotency::kNone;
-  config.request_classes.push_back(mutating);
   return config;
 }
 
 class RandomEvents : public EngineModel {
  public:
   explicit RandomEvents(std::uint64_t seed) : EngineModel(random_events_config()), random_(seed) {
+    kept_notices = 4 + below(20);
     connect();
     exchange_all();
   }
@@ -123,6 +119,9 @@
       receive();
     } else if (action < 50) {
       for (std::uint64_t count = below(6); count > 0; --count) below(2) ? receive_command() : receive_line();
+    } else if (action < 51) {
+      if (below(4) == 0) lose_notice();
+      for (std::uint64_t count = below(6); count > 0; --count) remark();
     } else if (action < 70) {
       std::vector<std::string> ids = running();
       if (!ids.empty()) advance_run(ids[below(ids.size())]);
@@ -169,6 +168,12 @@
       advance_time(kMs);
       check_answers();
     }
+    if (!link_is_open) break_link(false);
+    if (!link_is_up()) connect();
+    exchange_all();
+    stop_runs();
+    exchange_all();
+    EXPECT_EQ(service.stats()->running, 0) << "places are kept for runs that have ended";
     for (const std::string& id : open_) {
       if (attempts_.at(id).deadline > stop_at - 200 * kMs) continue;  // it arrived in the last moment
       EXPECT_TRUE(attempts_.at(id).disconnected) << id << " is unanswered at the stop";
